--- /dev/null
+++ b/src/sandladder/__main__.py
@@ -0,0 +1,7 @@
+"""Run sandladder with `python -m sandladder`."""
+
+import sys
+
+from sandladder.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/sandladder/cli.py
@@ -0,0 +1,73 @@
+"""The command line."""
+
+import argparse
+import logging
+import os
+import sys
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from sandladder import __version__
+from sandladder.settings import Settings, SettingsError, load
+
+OPERATOR_ENV = "SANDLADDER_OPERATOR"
+_LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="sandladder",
+        description="A controller of the sandladder cluster scheduler.",
+        epilog="LOG_LEVEL (error, info or debug) sets how much is logged to standard error.",
+    )
+    parser.add_argument(
+        "--config", type=Path, required=True, metavar="FILE", help="the platform's settings (TOML)"
+    )
+    parser.add_argument(
+        "--operator",
+        type=Path,
+        metavar="FILE",
+        default=os.environ.get(OPERATOR_ENV),
+        help=f"the operators' settings (S-expressions); default: ${OPERATOR_ENV}, if set",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit without serving"
+    )
+    parser.add_argument("--version", action="version", version=f"sandladder {__version__}")
+    return parser
+
+
+async def _serve(settings: Settings) -> None:
+    from sandladder.control import Controller
+
+    await Controller(settings, Random()).run()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; the exit status."""
+    args = _parser().parse_args(argv)
+    operator = Path(args.operator) if args.operator else None
+    try:
+        settings = load(args.config, operator)
+    except SettingsError as error:
+        print(f"sandladder: {error}", file=sys.stderr)
+        return 2
+    if args.check:
+        print(f"sandladder: the settings of {settings.node} are good")
+        return 0
+    level = os.environ.get("LOG_LEVEL", "info").lower()
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=_LEVELS.get(level, logging.INFO),
+        format="%(levelname)s %(name)s: %(message)s",
+    )
+    try:
+        anyio.run(_serve, settings)
+    except KeyboardInterrupt:
+        return 130
+    except OSError as error:
+        print(f"sandladder: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/src/sandladder/cloud.py
@@ -0,0 +1,297 @@
+"""The cloud: its client, and the duty of the one controller that rents and returns."""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder import wire
+from sandladder.http import Client, HttpError, Response
+from sandladder.lifecycle import Refused, View, change_fleet, put_types
+from sandladder.model import RENTER, ListedMachine, Machine, MachineType
+from sandladder.provision import Provisioner, Wish
+from sandladder.store import Change, NoLease, Renewal, Unavailable
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+_P_FLEET = 2
+FleetChange = Callable[[dict[str, Machine]], set[str]]
+
+
+class CloudError(Exception):
+    """The cloud gave no usable answer."""
+
+
+class NoCapacity(CloudError):
+    """The cloud has none of these machines now."""
+
+
+class CloudClient:
+    """Requests to the cloud."""
+
+    def __init__(self, host: str, port: int, timeout: float) -> None:
+        self._client = Client(host, port, keep=2)
+        self._timeout = timeout
+
+    async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
+        try:
+            answer = await self._client.request(method, target, body, timeout=self._timeout)
+        except HttpError as error:
+            raise CloudError(str(error)) from None
+        if answer.status == 503 and b"no capacity" in answer.body:
+            raise NoCapacity
+        if answer.status != 200:
+            raise CloudError(f"status {answer.status}")
+        return answer
+
+    async def catalog(self) -> dict[str, MachineType]:
+        return wire.parse_catalog((await self._request("GET", wire.CATALOG)).body)
+
+    async def rent(self, name: str, wish: Wish) -> list[str]:
+        """Rent machines; the same name may be asked again and rents nothing more."""
+        body = wire.hire_body(name, wish.type, wish.zone, wish.spot, wish.number)
+        return wire.parse_hired((await self._request("POST", wire.MACHINES, body)).body)
+
+    async def give_back(self, machines: list[str]) -> None:
+        """Return machines; once this returns they and all on them are gone."""
+        await self._request("POST", wire.RETURN, wire.return_body(machines))
+
+    async def machines(self) -> list[ListedMachine]:
+        """The whole list, page by page."""
+        found: list[ListedMachine] = []
+        after = ""
+        while True:
+            start = f"after={after}&" if after else ""
+            answer = await self._request("GET", f"{wire.MACHINES}?{start}most=500")
+            page, more = wire.parse_machines(answer.body)
+            found += page
+            if not more or not page:
+                return found
+            after = page[-1].id
+
+
+class Renter:
+    """Rents and returns for the whole fleet while this controller holds that duty."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        deployment = controller.settings.platform.deployment
+        self._lag_s = deployment.cloud.list_lag_s
+        self._pause_s = max(controller.report_s / 3, 2 / deployment.cloud.rps)
+        self._ttl_s = controller.lease_s / 3
+        self._provision = Provisioner(controller.picture)
+        self._held: Renewal | None = None
+        self._hires = 0
+        self._listed: dict[str, float] = {}  # machine -> when a list last showed it
+        self._next_list = 0.0
+        self._next_types = 0.0
+
+    async def run(self) -> None:
+        """Learn the machine types; hold the duty when it is free, and carry it out."""
+        while True:
+            await anyio.sleep(self._pause_s)
+            if not self._c.watch.loaded:
+                continue
+            try:
+                self._c.picture.now = anyio.current_time()
+                self._provision.learn()
+                await self._learn_types()
+                if await self._hold():
+                    await self._act()
+            except CloudError as error:
+                log.info("the cloud: %s", error)
+            except (Unavailable, NoLease, Refused, wire.Malformed) as error:
+                log.info("renting pauses: %s", error)
+
+    async def _learn_types(self) -> None:
+        if self._c.mirror.types and (self._held is None or anyio.current_time() < self._next_types):
+            return
+        types = await self._c.cloud.catalog()
+        self._next_types = anyio.current_time() + 2 * self._c.lease_s
+        if types == self._c.mirror.types:
+            return
+
+        def apply(view: View) -> bool:
+            put_types(view, types)
+            return True
+
+        await self._c.committer.add(Change("machine types", _P_FLEET, 1, apply)).wait()
+
+    async def _hold(self) -> bool:
+        """Whether the duty is surely ours; takes it when it is free."""
+        now = anyio.current_time()
+        if self._held is not None:
+            if now > self._held.until - self._ttl_s * 0.6:
+                try:
+                    await self._c.state.renew(self._held.lease)
+                except NoLease:
+                    self._held = None
+                    return False
+                self._held = Renewal(self._held.lease, now + 0.95 * self._ttl_s)
+            return anyio.current_time() < self._held.until
+        # A past life of ours may have left its mark; nobody else's is touched.
+        if self._c.mirror.renter not in (None, self._c.node) or not self._c.alive():
+            return False
+        lease = await self._c.state.hold(self._ttl_s)
+
+        def apply(view: View) -> bool:
+            if view.mirror.renter not in (None, self._c.node):
+                raise Refused("another controller rents")
+            view.put(RENTER, self._c.node, view.mirror.version(RENTER), lease)
+            return True
+
+        await self._c.committer.add(Change("renter", _P_FLEET, 1, apply, leased=True)).wait()
+        self._held = Renewal(lease, now + 0.95 * self._ttl_s)
+        self._listed.clear()
+        log.info("this controller rents now")
+        return True
+
+    async def _act(self) -> None:
+        now, wall = anyio.current_time(), time.time()
+        if now >= self._next_list:
+            self._next_list = now + self._lag_s / 3
+            await self._compare(await self._c.cloud.machines(), now, wall)
+        await self._drain(wall)
+        await self._return(wall)
+        self._c.picture.now = anyio.current_time()
+        for wish in self._provision.wishes(time.time()):
+            await self._rent(wish)
+
+    async def _rent(self, wish: Wish) -> None:
+        self._hires += 1
+        name = f"{self._c.node}-{self._c.delivery.term}-{self._hires}"
+        log.info("renting %s", wish)
+        for attempt in range(3):
+            try:
+                machines = await self._c.cloud.rent(name, wish)
+                break
+            except NoCapacity:
+                self._provision.refused(wish)
+                return
+            except CloudError:
+                # Without an answer the same name is asked again: it cannot rent twice.
+                if attempt == 2:
+                    raise
+                await anyio.sleep(self._pause_s)
+        if len(machines) < wish.number:
+            self._provision.refused(wish)
+        if machines:
+            record = Machine(wish.type, wish.zone, wish.spot, "rented", time.time())
+            await self._set(dict.fromkeys(machines, record))
+
+    async def _set(self, records: dict[str, Machine]) -> None:
+        """Change machines' records; binds that the duty is still ours."""
+
+        def change(fleet: dict[str, Machine]) -> set[str]:
+            fleet.update(records)
+            return set(records)
+
+        await self._change(change)
+
+    async def _change(self, change: FleetChange) -> None:
+        await self._c.committer.add(
+            Change("fleet", _P_FLEET, 2, lambda view: change_fleet(view, change))
+        ).wait()
+
+    async def _compare(self, listed: list[ListedMachine], now: float, wall: float) -> None:
+        """Adopt machines that are new to us and mark those that are gone."""
+        fleet = self._c.mirror.fleet
+        news: dict[str, Machine] = {}
+        stuck = []
+        for item in listed:
+            record = fleet.get(item.id)
+            self._listed[item.id] = now
+            if record is None:
+                if item.state != "failed":
+                    born = wall - max(0.0, item.age_s)
+                    news[item.id] = Machine(item.type, item.zone, item.spot, "rented", born)
+            elif item.state == "failed" and record.state != "gone":
+                log.info("machine %s has failed", item.id)
+                news[item.id] = record._replace(state="gone", since=wall)
+            if self._provision.stuck(item) and record is not None and record.state == "rented":
+                stuck.append(item.id)
+        names = {item.id for item in listed}
+        for machine, record in fleet.items():
+            last = self._listed.get(machine)
+            # A list may be older than the one before it, by twice the lag at most.
+            if machine in names or record.state == "gone" or last is None:
+                continue
+            if now - last > 2.5 * self._lag_s:
+                log.info("machine %s is gone", machine)
+                news[machine] = record._replace(state="gone", since=wall)
+        for machine in stuck:
+            log.info("machine %s does not come up", machine)
+            news[machine] = fleet[machine]._replace(state="draining", since=wall)
+        if news:
+            await self._set(news)
+        failed = [item.id for item in listed if item.state == "failed"]
+        if failed:
+            await self._c.cloud.give_back(failed[:100])
+        await self._forget_gone(wall)
+        self._listed = {m: t for m, t in self._listed.items() if now - t < 10 * self._lag_s}
+
+    async def _forget_gone(self, wall: float) -> None:
+        def change(fleet: dict[str, Machine]) -> set[str]:
+            over = {
+                m
+                for m, record in fleet.items()
+                if record.state == "gone"
+                and m not in self._c.mirror.on_machine
+                and wall - record.since > 6 * self._lag_s
+            }
+            for machine in over:
+                del fleet[machine]
+            return over
+
+        await self._change(change)
+
+    async def _drain(self, wall: float) -> None:
+        """Mark machines that are to be returned, so that nothing more is placed there."""
+        mirror = self._c.mirror
+        chosen = {}
+        for machine in self._provision.surplus(wall):
+            room = self._c.picture.room(machine)
+            if room is not None:
+                log.info("draining %s", machine)
+                chosen[machine] = Machine(room.type, room.zone, room.spot, "draining", wall)
+        if self._c.loss.up_s(anyio.current_time()) > self._c.lease_s:
+            for machine in self._provision.silent(wall):
+                if mirror.fleet[machine].state == "rented" and await self._unreachable(machine):
+                    log.info("machine %s is silent", machine)
+                    chosen[machine] = mirror.fleet[machine]._replace(state="draining", since=wall)
+        if chosen:
+            await self._set(chosen)
+
+    async def _unreachable(self, machine: str) -> bool:
+        """Whether a machine does not answer us either."""
+        dialogue = self._c.delivery.machines.get(machine)
+        if dialogue is None:
+            return True
+        host, _, port = dialogue.report.addr.rpartition(":")
+        client = Client(host, int(port), keep=0)
+        try:
+            await client.request("GET", "/status", timeout=self._c.report_s / 2)
+        except HttpError:
+            return True
+        return False
+
+    async def _return(self, wall: float) -> None:
+        """Return drained machines, and silent ones whatever they were doing."""
+        mirror = self._c.mirror
+        silent = set(self._provision.silent(wall))
+        ready = [
+            machine
+            for machine, record in mirror.fleet.items()
+            if record.state == "draining"
+            and (machine not in mirror.on_machine or machine in silent)
+        ][:100]
+        if not ready:
+            return
+        await self._c.cloud.give_back(ready)
+        log.info("returned %s", ready)
+        await self._set({m: mirror.fleet[m]._replace(state="gone", since=wall) for m in ready})
--- /dev/null
+++ b/src/sandladder/control.py
@@ -0,0 +1,809 @@
+"""The duties of a controller, joined: users, workers, the state service, peers, the cloud."""
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sandladder import mesh, wire
+from sandladder.cloud import CloudClient, Renter
+from sandladder.delivery import Delivery, Dialogue
+from sandladder.http import Client, HttpError, Request, Response, Server
+from sandladder.lifecycle import (
+    Ended,
+    LossProof,
+    Placement,
+    Refused,
+    View,
+    cancel,
+    end,
+    put_summary,
+    rejection,
+    start,
+    submit,
+)
+from sandladder.model import (
+    CANCELLED,
+    DONE,
+    FINAL,
+    JOB,
+    NODE,
+    TERM,
+    Attempt,
+    Final,
+    Job,
+    JobSpec,
+    Mirror,
+    Report,
+    Seen,
+    Summary,
+)
+from sandladder.placement import Picture, Planner
+from sandladder.premises import Gate, Intent, Outcome, Resource
+from sandladder.settings import Settings, TeamLimits, split_addr
+from sandladder.store import (
+    Change,
+    Committer,
+    NoLease,
+    Renewal,
+    Signal,
+    StateClient,
+    Unavailable,
+    Watch,
+)
+
+log = logging.getLogger(__name__)
+
+# Priorities of changes: lower goes first.
+_P_HOLD, _P_USER, _P_WORK, _P_SUMMARY = 0, 1, 2, 3
+
+
+class Controller:
+    """One controller node."""
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        deployment = settings.platform.deployment
+        self.settings = settings
+        self.node = settings.node
+        self.nodes = settings.node_names
+        self.rng = rng
+        workers = deployment.workers
+        self.report_s, self.lease_s = workers.report_s, workers.lease_s
+        self.hold_s = settings.operator.hold_leases * self.lease_s
+        # A request to the state service that takes this long is given up.
+        self.state_timeout_s = self.lease_s / 8
+        self.beat_s = self.report_s / 6
+
+        self.mirror = Mirror()
+        self.delivery = Delivery()
+        self.loss = LossProof(self.node, self.nodes, self.lease_s, anyio.current_time())
+        self.gate = Gate()
+        self.picture = Picture(settings, self.mirror, self.delivery, self.loss, self.gate)
+        self.planner = Planner(self.picture, rng)
+        host, port = split_addr(settings.platform.external.state)
+        self.state = StateClient(
+            host, port, deployment.state, len(self.nodes), self.state_timeout_s
+        )
+        self.watch = Watch(self.state, self.mirror, len(self.nodes), self._changed, self._synced)
+        self.committer = Committer(self.state, self.mirror, self.watch, rng, self._changed)
+        host, port = split_addr(settings.platform.external.cloud)
+        self.cloud = CloudClient(host, port, timeout=self.lease_s / 3)
+        self.renter = Renter(self)
+        self.links = {
+            peer.node_name: mesh.Link(peer, self.beat_s) for peer in settings.platform.peers
+        }
+
+        self._renewal: Renewal | None = None
+        self._present = False  # our summary is in the store under the current lease
+        self._term_lock = anyio.Lock()
+        self._plan_due = Signal()
+        self._hold_due = Signal()
+        self._summary_due = Signal()
+        self._barred: dict[str, float] = {}
+        self._ends: dict[str, dict[tuple[int, int], Ended]] = {}
+        self._ending: dict[tuple[str, int, int], float] = {}
+        self._clients: dict[str, tuple[str, Client]] = {}
+        self._tasks: TaskGroup | None = None
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        platform = self.settings.platform
+        quota = platform.deployment.quota
+        host, port = split_addr(platform.api_addr)
+        server = Server(
+            self.handle,
+            body_limit=wire.BODY_LIMIT,
+            idle_s=20 * self.lease_s,
+            read_s=self.report_s,
+            most=int(quota.max_sockets * 0.8),
+        )
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(server.serve, host, port)
+            tasks.start_soon(
+                mesh.serve,
+                platform.mesh_addr,
+                8 * len(self.nodes),
+                20 * self.beat_s,
+                self._hear_peer,
+            )
+            for link in self.links.values():
+                tasks.start_soon(link.run, self._beat)
+            for duty in (
+                self.watch.run,
+                self.committer.run,
+                self._keep_hold,
+                self._keep_summary,
+                self._plan,
+                self._sweep,
+                self.renter.run,
+            ):
+                tasks.start_soon(self._duty, duty)
+
+    async def _duty(self, duty: Callable[[], Awaitable[None]]) -> None:
+        """Run a duty; one that fails unexpectedly is logged and started again alone."""
+        while True:
+            try:
+                await duty()
+            except Exception:
+                log.exception("a duty failed: %s", getattr(duty, "__qualname__", duty))
+            await anyio.sleep(self.report_s / 3)
+
+    # The hold and the term
+
+    def alive(self) -> bool:
+        """Whether our own hold surely lasts: only then do we answer workers or act."""
+        renewal = self._renewal
+        return self._present and renewal is not None and anyio.current_time() < renewal.until
+
+    def _until(self, sent: float) -> float:
+        # Counted from when the request was sent; clocks drift apart.
+        return sent + self.hold_s * 0.998 - 0.05
+
+    async def _keep_hold(self) -> None:
+        while True:
+            try:
+                if self._renewal is None or not self._present:
+                    await self._enter()
+                else:
+                    sent = anyio.current_time()
+                    await self.state.renew(self._renewal.lease)
+                    self._renewal = Renewal(self._renewal.lease, self._until(sent))
+            except NoLease:
+                log.warning("the hold has ended")
+                self._renewal, self._present = None, False
+                continue
+            except (Unavailable, wire.Malformed) as error:
+                log.debug("the hold cannot be renewed: %s", error)
+                await anyio.sleep(self.report_s / 10)
+                continue
+            await self._hold_due.wait(self.hold_s / 8)
+
+    async def _enter(self) -> None:
+        """Get a hold, a term, and the presence that the other controllers see."""
+        if self._renewal is None or anyio.current_time() >= self._renewal.until:
+            sent = anyio.current_time()
+            lease = await self.state.hold(self.hold_s)
+            self._renewal = Renewal(lease, self._until(sent))
+        await self.watch.barrier()
+        await self._take_term()
+        self._present = True
+        log.info("entered with term %d", self.delivery.term)
+
+    async def _take_term(self, above: int = 0) -> None:
+        """Increase the one counter of terms; the number is ours alone."""
+        assert self._renewal is not None
+        lease = self._renewal.lease
+        taken = 0
+
+        def apply(view: View) -> bool:
+            nonlocal taken
+            taken = max(self.mirror.term, above) + 1
+            view.put(TERM, taken, self.mirror.version(TERM))
+            put_summary(view, self.node, self._summary(taken), lease)
+            return True
+
+        change = self.committer.add(Change("term", _P_HOLD, 2, apply, leased=True))
+        await change.wait()
+        self.delivery.new_term(taken)
+
+    async def _rise_above(self, token: int) -> bool:
+        """Take a term above a worker's token, because the worker has come to us."""
+        async with self._term_lock:
+            if self.delivery.term >= token:
+                return True
+            try:
+                with anyio.fail_after(self.report_s):
+                    await self.watch.barrier()
+                    await self._take_term(token)
+            except (TimeoutError, NoLease, Refused):
+                return False
+            return True
+
+    def _summary(self, term: int) -> Summary:
+        now = anyio.current_time()
+        self.picture.now = now
+        machines = {}
+        for machine in self.loss.machines():
+            age = self.loss.age(machine, now)
+            dialogue = self.delivery.machines.get(machine)
+            if age is None or dialogue is None:
+                continue
+            report = dialogue.report
+            notice = dialogue.notice_at
+            machines[machine] = Seen(
+                type=report.type,
+                zone=report.zone,
+                spot=report.spot,
+                session=report.session,
+                age_s=round(age, 2),
+                notice_s=None if notice is None else round(notice - now, 1),
+                errors=dialogue.errors,
+                images=self.picture.images.names(machine, report.session)[-4:],
+            )
+        return Summary(term, round(self.loss.up_s(now), 2), self.mirror.revision, machines)
+
+    async def _keep_summary(self) -> None:
+        """Write the room summary every few seconds, sooner when a machine comes or goes."""
+        period = self.settings.operator.summary_reports * self.report_s
+        while True:
+            urgent = await self._summary_due.wait(period)
+            if not self.alive() or self._renewal is None:
+                await anyio.sleep(self.report_s / 6)
+                continue
+            lease = self._renewal.lease
+
+            def apply(view: View, lease: int = lease) -> bool:
+                put_summary(view, self.node, self._summary(self.delivery.term), lease)
+                return True
+
+            try:
+                await self.committer.add(
+                    Change("summary", _P_WORK if urgent else _P_SUMMARY, 1, apply, leased=True)
+                ).wait()
+            except NoLease:
+                self._renewal, self._present = None, False
+                self._hold_due.set()
+            except Refused as refusal:
+                log.error("the summary was refused: %s", refusal)
+            await anyio.sleep(self.report_s / 6)
+
+    # What changes set off
+
+    def _synced(self, sent: float) -> None:
+        self.loss.synced(sent, self.mirror.revision)
+
+    def _changed(self, keys: set[str]) -> None:
+        """The records changed: check the premises that this reaches, and deliver."""
+        now = self.picture.now = anyio.current_time()
+        if any(key.startswith(NODE) for key in keys):
+            self.loss.observe(self.mirror.nodes, now)
+        resources: list[Resource] = []
+        touched, self.mirror.touched = self.mirror.touched, set()
+        for machine in touched:
+            self.picture.touch(machine)
+            resources.append(("machine", machine))
+        for key in keys:
+            if key.startswith(JOB):
+                job_id = key[len(JOB) :]
+                resources.append(("job", job_id))
+                job = self.mirror.jobs.get(job_id)
+                if job is not None:
+                    self.picture.note_starts(job)
+                    resources += [("task", f"{job_id}/{task}") for task in job.live]
+            elif key.startswith("s/t/"):
+                resources.append(("team", key[4:]))
+        for verdict in self.gate.changed(resources, self.picture):
+            if verdict.outcome >= Outcome.REPLAN:
+                log.debug(
+                    "%s %s on %s: %s", verdict.outcome.name, verdict.intent.key,
+                    verdict.intent.placement.machine, verdict.reason,
+                )  # fmt: skip
+        for machine in touched:
+            dialogue = self.delivery.machines.get(machine)
+            if dialogue is not None:
+                self._push(dialogue)
+        self._plan_due.set()
+
+    # Workers
+
+    async def _report(self, request: Request) -> Response:
+        try:
+            report = wire.parse_report(wire.loads(request.body))
+        except wire.Malformed as error:
+            return Response(400, wire.error_body(str(error)))
+        if not self.alive():
+            return Response(421, wire.redirect_body(self._abler_peer()))
+        if not self._state_ok() and (peer := self._abler_peer()):
+            # We cannot learn what to tell the machine any more, and a peer can.
+            return Response(421, wire.redirect_body(peer))
+        if report.token > self.delivery.term and not await self._rise_above(report.token):
+            return Response(421, wire.redirect_body(None))
+        known = self.delivery.machines.get(report.machine)
+        before = None if known is None else (known.session, known.notice_at is None)
+        dialogue = self._hear(report, direct=False)
+        if dialogue is None:
+            return Response(503, wire.error_body("a newer report is known"))
+        if before != (dialogue.session, dialogue.notice_at is None):
+            self._summary_due.set()
+        commands = self.delivery.orders(dialogue, self.mirror)
+        if dialogue.sending:
+            commands = [c for c in commands if c.op != "start"]
+        if not self.alive():
+            return Response(421, wire.redirect_body(None))
+        if any(c.op == "start" for c in commands):
+            dialogue.start_in_answer = True
+        self.loss.answered(report.machine, anyio.current_time())
+        return Response(200, wire.dumps(wire.commands_value(self.delivery.term, commands)))
+
+    def _hear(self, report: Report, *, direct: bool) -> Dialogue | None:
+        now = self.picture.now = anyio.current_time()
+        dialogue, news = self.delivery.heard(report, now, direct=direct)
+        if not news:
+            return None
+        if dialogue.obeys and not dialogue.synced and self._tasks is not None:
+            self._tasks.start_soon(self._confirm, dialogue, dialogue.epoch)
+        self._collect_ends(self.delivery.ends(dialogue, self.mirror))
+        return dialogue
+
+    async def _confirm(self, dialogue: Dialogue, epoch: int) -> None:
+        """Give orders only from records read after the machine came to obey our term."""
+        with anyio.move_on_after(self.lease_s):
+            await self.watch.barrier()
+            if dialogue.obeys and dialogue.epoch == epoch and not dialogue.synced:
+                dialogue.synced = True
+                self.picture.touch(dialogue.report.machine)
+                self._push(dialogue)
+                self._plan_due.set()
+
+    def _push(self, dialogue: Dialogue) -> None:
+        """Send the machine its orders directly, if there are any."""
+        if dialogue.sending or not self.alive() or self._tasks is None:
+            return
+        if any(c.op != "forget" for c in self.delivery.orders(dialogue, self.mirror)):
+            dialogue.sending = True
+            self._tasks.start_soon(self._command, dialogue)
+
+    async def _command(self, dialogue: Dialogue) -> None:
+        machine = dialogue.report.machine
+        try:
+            again = await self._send_commands(dialogue)
+        finally:
+            dialogue.sending = False
+        if again and self.delivery.machines.get(machine) is dialogue:
+            self._push(dialogue)
+
+    async def _send_commands(self, dialogue: Dialogue) -> bool:
+        dialogue.sending = False
+        commands = self.delivery.orders(dialogue, self.mirror)
+        dialogue.sending = True
+        if not commands or not self.alive():
+            return False
+        term, report = self.delivery.term, dialogue.report
+        body = wire.commands_value(term, commands) | {"shift": report.session}
+        client = self._client(report.machine, report.addr)
+        starts = any(c.op == "start" for c in commands)
+        try:
+            answer = await client.request(
+                "POST", wire.COMMANDS, wire.dumps(body), timeout=self.report_s
+            )
+            fresh = wire.parse_report(wire.loads(answer.body))
+        except (HttpError, wire.Malformed) as error:
+            log.info("machine %s did not answer a command: %s", report.machine, error)
+            if starts:
+                dialogue.tainted = term
+            await anyio.sleep(self.report_s / 2)
+            return False
+        if fresh.machine != report.machine:
+            log.warning("%s answers at the address of %s", fresh.machine, report.machine)
+            return False
+        sent = {(c.job, c.task, c.attempt) for c in commands if c.op == "stop"}
+        self._hear(fresh, direct=True)
+        if answer.status != 200:
+            if fresh.token > term:
+                self.delivery.lost_touch(report.machine)
+            return False
+        dialogue.sending = False
+        self._collect_ends(self.delivery.never_ran(dialogue, self.mirror, commands, term))
+        dialogue.sending = True
+        told = {(c.job, c.task, c.attempt) for c in commands if c.op != "forget"}
+        left = self.delivery.orders(dialogue, self.mirror)
+        # What was just told and is under way needs no repeating before the next report.
+        return any((c.job, c.task, c.attempt) not in told | sent and c.op != "forget" for c in left)
+
+    def _client(self, machine: str, addr: str) -> Client:
+        known = self._clients.get(machine)
+        if known is None or known[0] != addr:
+            host, port = split_addr(addr)
+            known = self._clients[machine] = addr, Client(host, port, keep=1)
+        return known[1]
+
+    # Ends
+
+    def _collect_ends(self, ends: list[Ended]) -> None:
+        """Have proved ends committed: by the placing controller, soon by us if it does not."""
+        if not ends:
+            return
+        now = anyio.current_time()
+        away: dict[str, list[mesh.EndedTask]] = {}
+        for item in ends:
+            key = (item.job, item.task, item.attempt.attempt)
+            job = self.mirror.jobs.get(item.job)
+            owner = self.owner(job.spec.team) if job else self.node
+            told = self._ending.setdefault(key, now)
+            if owner == self.node or now - told > self.report_s / 3:
+                self._commit_end(item)
+            elif told == now:
+                away.setdefault(owner, []).append(
+                    mesh.EndedTask(item.job, item.task, *item.attempt[:4], outcome=item.outcome)
+                )
+        for owner, items in away.items():
+            self.links[owner].send(mesh.Ends(items))
+
+    def _commit_end(self, item: Ended) -> None:
+        waiting = self._ends.setdefault(item.job, {})
+        key = (item.task, item.attempt.attempt)
+        if key in waiting:
+            return
+        first = not waiting
+        waiting[key] = item
+        if first:
+            change = Change(
+                f"ends of {item.job}", _P_WORK, 3, lambda view: self._apply_ends(view, item.job)
+            )
+            self.committer.add(change)
+            if self._tasks is not None:
+                self._tasks.start_soon(self._after_ends, change, item.job)
+
+    def _apply_ends(self, view: View, job_id: str) -> bool:
+        items = list(self._ends.get(job_id, {}).values())
+        return end(view, items)
+
+    async def _after_ends(self, change: Change, job_id: str) -> None:
+        try:
+            await change.wait()
+        except Refused as refusal:
+            log.error("ends of %s were refused: %s", job_id, refusal)
+        left = self._ends.pop(job_id, {})
+        for item in left.values():
+            self._note_end(item)
+            job = self.mirror.jobs.get(job_id)
+            live = job.live.get(item.task) if job is not None else None
+            if live is not None and live[:4] == item.attempt[:4]:
+                self._commit_end(item)  # it came while the others were being committed
+            dialogue = self.delivery.machines.get(item.attempt.machine)
+            if dialogue is not None:
+                self._push(dialogue)
+
+    def _note_end(self, item: Ended) -> None:
+        """Let a job that fails everywhere back off."""
+        job = self.mirror.jobs.get(item.job)
+        if job is None or item.outcome not in ("error", "unknown", "no_room", "busy"):
+            return
+        delay = self.report_s / 3
+        if item.outcome in ("error", "unknown"):
+            delay = min(2 * self.lease_s, delay * 2 ** min(job.errors, 10) / 2)
+        self._barred[item.job] = max(self._barred.get(item.job, 0), self.picture.now + delay)
+        log.debug("%s/%d ended with %s", item.job, item.task, item.outcome)
+
+    async def _sweep(self) -> None:
+        """Look again, at a slow pace, for what events may have missed."""
+        while True:
+            await anyio.sleep(self.report_s / 6)
+            now = self.picture.now = anyio.current_time()
+            if not self.watch.loaded:
+                continue
+            for dialogue in list(self.delivery.machines.values()):
+                self._collect_ends(self.delivery.ends(dialogue, self.mirror))
+                if dialogue.tainted == self.delivery.term and dialogue.obeys:
+                    await self._rise_above(self.delivery.term + 1)
+            self._collect_ends(self._losses(now))
+            self.delivery.forget_silent(now, 4 * self.lease_s)
+            self.picture.forget()
+            for machine in [m for m in self._clients if m not in self.delivery.machines]:
+                await self._clients.pop(machine)[1].aclose()
+            self._ending = {k: t for k, t in self._ending.items() if now - t < 4 * self.lease_s}
+            self._barred = {j: t for j, t in self._barred.items() if t > now}
+            self._plan_due.set()
+
+    def _losses(self, now: float) -> list[Ended]:
+        """Attempts on machines that are gone, or whose lease has surely run out."""
+        found = []
+        for machine in list(self.mirror.on_machine):
+            listed = self.mirror.fleet.get(machine)
+            gone = listed is not None and listed.state == "gone"
+            if not gone:
+                sight = self.picture.sight(machine)
+                if sight is not None and sight.age_s < self.lease_s:
+                    # A later session ends what an earlier one ran.
+                    found += [
+                        Ended(job.id, task, attempt, "lost")
+                        for job, task, attempt in self.mirror.attempts_on(machine)
+                        if attempt.session < sight.seen.session
+                    ]
+                    continue
+                gone = self.loss.lost(machine, now)
+            if gone:
+                found += [
+                    Ended(job.id, task, attempt, "lost")
+                    for job, task, attempt in self.mirror.attempts_on(machine)
+                ]
+        return found
+
+    # Placing
+
+    def live_nodes(self) -> list[str]:
+        """The controllers that seem able to place."""
+        now = anyio.current_time()
+        fresh = {node for node, _, seen in self.loss.statements() if now - seen < 2 * self.report_s}
+        found = []
+        for name in self.nodes:
+            link = self.links.get(name)
+            if link is None:
+                found.append(name)
+            elif now - link.heard_at < 3 * self.beat_s:
+                if link.state_ok:
+                    found.append(name)
+            elif not link.refused and name in fresh:
+                found.append(name)
+        return found
+
+    def owner(self, team: str) -> str:
+        """The controller that places this team's jobs; a disagreement costs only a retry."""
+        names = [t.name for t in self.settings.platform.deployment.teams]
+        first = names.index(team) if team in names else 0
+        live = set(self.live_nodes())
+        for step in range(len(self.nodes)):
+            name = self.nodes[(first + step) % len(self.nodes)]
+            if name in live:
+                return name
+        return self.node
+
+    def _owned(self) -> list[Job]:
+        mine = {
+            team.name
+            for team in self.settings.platform.deployment.teams
+            if self.owner(team.name) == self.node
+        }
+        return [job for job in self.mirror.jobs.values() if job.spec.team in mine]
+
+    async def _plan(self) -> None:
+        while True:
+            await self._plan_due.wait(self.report_s)
+            if not self.alive() or not self.watch.loaded or not self.mirror.types:
+                await anyio.sleep(self.report_s / 10)
+                continue
+            self.picture.now = anyio.current_time()
+            admitted = self.planner.plan(self._owned(), self._barred)
+            batches: dict[str, list[Intent]] = {}
+            for intent in admitted:
+                batches.setdefault(intent.spec.id, []).append(intent)
+            for job_id, intents in batches.items():
+                self._commit_starts(job_id, intents)
+            await anyio.sleep(self.report_s / 100)
+
+    def _commit_starts(self, job_id: str, intents: list[Intent]) -> None:
+        def apply(view: View) -> bool:
+            return self._apply_starts(view, job_id, intents)
+
+        change = self.committer.add(Change(f"starts of {job_id}", _P_WORK, 2, apply))
+        assert self._tasks is not None
+        self._tasks.start_soon(self._after_starts, change, intents)
+
+    def _apply_starts(self, view: View, job_id: str, intents: list[Intent]) -> bool:
+        """The gate before the effect: release the starts whose premises still hold."""
+        self.picture.now = anyio.current_time()
+        job = self.mirror.jobs.get(job_id)
+        passed: list[Placement] = []
+        for intent in intents:
+            if self.gate.pending.get(intent.key) is not intent:
+                continue
+            verdict = self.gate.release(intent, self.picture)
+            if verdict.outcome < Outcome.REPLAN:
+                passed.append(intent.placement)
+            else:
+                log.debug("%s %s: %s", verdict.outcome.name, intent.key, verdict.reason)
+        if not passed or job is None or not self.alive():
+            return False
+        start(view, job_id, passed, self.picture.limits.get(job.spec.team, TeamLimits("")))
+        return True
+
+    async def _after_starts(self, change: Change, intents: list[Intent]) -> None:
+        try:
+            await change.wait()
+        except Refused as refusal:
+            log.debug("%s: %s", change.name, refusal)
+        clerks = set()
+        for intent in intents:
+            if self.gate.pending.get(intent.key) is intent:
+                self.gate.withdraw(intent)
+                clerks.add(intent.clerk)
+        self._poke(clerks)
+        self._plan_due.set()
+
+    # Peers
+
+    def _beat(self) -> mesh.Beat:
+        return mesh.Beat(self.node, self.alive() and self._state_ok())
+
+    def _poke(self, nodes: set[str]) -> None:
+        for name in nodes & self.links.keys():
+            self.links[name].send(mesh.Poke(self.mirror.revision))
+
+    def _hear_peer(self, message: mesh.Message) -> None:
+        if isinstance(message, mesh.Beat):
+            link = self.links.get(message.node)
+            if link is not None:
+                link.heard_at, link.state_ok = anyio.current_time(), message.state_ok
+        elif isinstance(message, mesh.Poke):
+            self.watch.poke()
+        else:
+            for item in message.ends:
+                attempt = Attempt(item.machine, item.zone, item.session, item.attempt)
+                self._commit_end(Ended(item.job, item.task, attempt, item.outcome))
+
+    def _state_ok(self) -> bool:
+        return anyio.current_time() - self.state.ok_at < self.report_s / 2
+
+    def _abler_peer(self) -> str | None:
+        """A peer that says it reaches the state service, if any does."""
+        now = anyio.current_time()
+        able = [
+            name
+            for name, link in self.links.items()
+            if link.state_ok and now - link.heard_at < 3 * self.beat_s
+        ]
+        return self.rng.choice(able) if able else None
+
+    # Users
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request to the node's public address."""
+        path = request.path.partition("?")[0]
+        try:
+            if path == wire.REPORT:
+                return await self._only("POST", request, self._report)
+            if path == wire.HEALTH:
+                return await self._only("GET", request, self._health)
+            if path == wire.JOBS:
+                return await self._only("POST", request, self._submit)
+            if path.startswith(wire.JOBS + "/"):
+                job_id, _, action = path[len(wire.JOBS) + 1 :].partition("/")
+                if action == "cancel":
+                    return await self._only("POST", request, lambda r: self._cancel(job_id))
+                if not action:
+                    return await self._only("GET", request, lambda r: self._status(job_id))
+            return Response(404, wire.error_body("no such path"))
+        except (Unavailable, TimeoutError):
+            return Response(503, wire.error_body("the state service cannot be reached"), 1)
+        except Exception:
+            log.exception("a request failed: %s %s", request.method, request.path)
+            return Response(500, wire.error_body("internal error"), 1)
+
+    @staticmethod
+    async def _only(
+        method: str, request: Request, handler: Callable[[Request], Awaitable[Response]]
+    ) -> Response:
+        if request.method != method:
+            return Response(405, wire.error_body("wrong method"))
+        return await handler(request)
+
+    async def _health(self, request: Request) -> Response:
+        ready = self.watch.loaded and bool(self.mirror.types)
+        if not ready or (not self._state_ok() and self._abler_peer() is not None):
+            return Response(503)
+        return Response(200)
+
+    async def _lookup(self, job_id: str) -> Job | Final | None:
+        """A job as of now: read after the question came."""
+        final = self.mirror.finals.get(job_id)
+        if final is not None:
+            return final  # finished jobs do not change
+        with anyio.fail_after(self.report_s / 2):
+            await self.watch.barrier()
+            job = self.mirror.jobs.get(job_id)
+            if job is not None:
+                return job
+            found = self.mirror.finals.get(job_id)
+            if found is not None:
+                return found
+            stored = await self.state.get(FINAL + job_id)
+        if stored is None:
+            return None
+        final = Final(*stored[0])
+        self.mirror.remember(job_id, final)
+        return final
+
+    async def _status(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        return self._state_answer(job_id, await self._lookup(job_id))
+
+    @staticmethod
+    def _state_answer(job_id: str, found: Job | Final | None) -> Response:
+        if found is None:
+            return Response(404, wire.error_body("no such job"))
+        if isinstance(found, Final):
+            return Response(200, wire.job_status(job_id, found.state, found.done))
+        running = len(found.live)
+        return Response(200, wire.job_status(job_id, found.state, found.done.count, running))
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            spec = wire.parse_job(request.body)
+            problem, status = None, 0
+        except wire.Malformed as error:
+            problem, status = str(error), 400
+            job_id = wire.id_of(request.body)
+            if job_id is None:
+                return Response(400, wire.error_body(problem))
+        else:
+            job_id = spec.id
+            if job_id in self.mirror.jobs or job_id in self.mirror.finals:
+                return self._state_answer(job_id, await self._lookup(job_id))
+            if not self.mirror.types:
+                return Response(503, wire.error_body("the machine types are not known yet"), 1)
+            problem = rejection(spec, self.mirror.types, self.picture.limits)
+            status = 422
+        if problem is not None:
+            # A job that was accepted stays so, whatever a later submission says.
+            found = await self._lookup(job_id)
+            if found is not None:
+                return self._state_answer(job_id, found)
+            return Response(status, wire.error_body(problem))
+        if self.committer.full or not self._state_ok():
+            return Response(503, wire.error_body("busy"), 1)
+        now = time.time()
+        change = Change(
+            f"submission of {job_id}",
+            _P_USER,
+            1,
+            lambda view: self._apply_submit(view, spec, now),
+            final=FINAL + job_id,
+        )
+        try:
+            with anyio.fail_after(self.report_s):
+                await self.committer.add(change).wait()
+        except Refused:
+            return self._state_answer(job_id, await self._lookup(job_id))
+        self._poke({self.owner(spec.team)})
+        return Response(201, wire.job_status(job_id, "pending"))
+
+    @staticmethod
+    def _apply_submit(view: View, spec: JobSpec, now: float) -> bool:
+        submit(view, spec, now)
+        return True
+
+    async def _cancel(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        found = await self._lookup(job_id)
+        if found is None or isinstance(found, Final) or found.cancelled:
+            if found is None:
+                return Response(404, wire.error_body("no such job"))
+            return Response(200, wire.job_status(job_id, found.state))
+
+        def apply(view: View) -> bool:
+            cancel(view, job_id)
+            return True
+
+        clerks = set()
+        for attempt in found.live.values():
+            sight = self.picture.sight(attempt.machine)
+            if sight is not None:
+                clerks.add(sight.clerk)
+        try:
+            with anyio.fail_after(self.report_s):
+                await self.committer.add(Change(f"cancel {job_id}", _P_USER, 2, apply)).wait()
+        except Refused:
+            found = await self._lookup(job_id)
+            if found is None or found.state not in (DONE, CANCELLED):
+                return Response(503, wire.error_body("busy"), 1)
+            return Response(200, wire.job_status(job_id, found.state))
+        self._poke(clerks)
+        return Response(200, wire.job_status(job_id, CANCELLED))
--- /dev/null
+++ b/src/sandladder/mesh.py
@@ -0,0 +1,155 @@
+"""What passes between controllers: msgspec messages in length-prefixed frames over TCP.
+
+Everything said here is a hint that makes things quick.  What must not be missed goes
+through the state service.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import msgspec
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from sandladder.settings import Peer, split_addr
+from sandladder.store import Signal
+
+log = logging.getLogger(__name__)
+
+_FRAME_LIMIT = 256 * 1024
+_QUEUE_LIMIT = 256
+
+
+class Beat(msgspec.Struct, tag="beat", array_like=True):
+    """A sign of life; `state_ok` says that the sender reaches the state service."""
+
+    node: str
+    state_ok: bool
+
+
+class Poke(msgspec.Struct, tag="poke", array_like=True):
+    """Something that concerns the receiver was committed: read the changes now."""
+
+    revision: int
+
+
+class EndedTask(msgspec.Struct, array_like=True):
+    """An end that a worker's report proves."""
+
+    job: str
+    task: int
+    machine: str
+    zone: str
+    session: int
+    attempt: int
+    outcome: str
+
+
+class Ends(msgspec.Struct, tag="ends", array_like=True):
+    """Ends for the controller that places the jobs' team to commit."""
+
+    ends: list[EndedTask]
+
+
+Message = Beat | Poke | Ends
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+class Link:
+    """Our side of the way to one peer: a bounded queue that one routine sends."""
+
+    def __init__(self, peer: Peer, beat_s: float) -> None:
+        self.peer = peer
+        self._beat_s = beat_s
+        self._queue: deque[Message] = deque(maxlen=_QUEUE_LIMIT)
+        self._work = Signal()
+        self.refused = False
+        self.heard_at = float("-inf")
+        self.state_ok = False
+
+    def send(self, message: Message) -> None:
+        """Queue a hint; when the queue is full the oldest is dropped."""
+        self._queue.append(message)
+        self._work.set()
+
+    async def run(self, beat: Callable[[], Beat]) -> None:
+        """Keep a connection and send what is queued, with beats in between."""
+        host, port = split_addr(self.peer.addr)
+        while True:
+            try:
+                with anyio.fail_after(4 * self._beat_s):
+                    stream = await anyio.connect_tcp(host, port)
+            except (OSError, TimeoutError) as error:
+                refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+                self.refused = refused
+                self._queue.clear()
+                await anyio.sleep(self._beat_s)
+                continue
+            self.refused = False
+            try:
+                async with stream:
+                    await self._send_all(stream, beat)
+            except (OSError, TimeoutError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                log.info("the link to %s broke", self.peer.node_name)
+
+    async def _send_all(self, stream: SocketStream, beat: Callable[[], Beat]) -> None:
+        while True:
+            messages = [*self._queue, beat()]
+            self._queue.clear()
+            data = b"".join(_frame(message) for message in messages)
+            with anyio.fail_after(4 * self._beat_s):
+                await stream.send(data)
+            await self._work.wait(self._beat_s)
+
+
+def _frame(message: Message) -> bytes:
+    body = _encoder.encode(message)
+    return len(body).to_bytes(4, "big") + body
+
+
+async def serve(addr: str, most: int, silent_s: float, receive: Callable[[Message], None]) -> None:
+    """Take in the peers' messages until cancelled."""
+    host, port = split_addr(addr)
+    count = 0
+
+    async def connection(stream: SocketStream) -> None:
+        nonlocal count
+        count += 1
+        try:
+            if count <= most:
+                await _receive_all(stream, silent_s, receive)
+        except (
+            OSError,
+            TimeoutError,
+            anyio.EndOfStream,
+            anyio.IncompleteRead,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            pass
+        except (msgspec.DecodeError, ValueError) as error:
+            log.warning("a peer sent what cannot be read: %s", error)
+        finally:
+            count -= 1
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    async with listener:
+        await listener.serve(connection)
+
+
+async def _receive_all(
+    stream: SocketStream, silent_s: float, receive: Callable[[Message], None]
+) -> None:
+    buffered = BufferedByteReceiveStream(stream)
+    while True:
+        with anyio.fail_after(silent_s):
+            size = int.from_bytes(await buffered.receive_exactly(4), "big")
+            if not 0 < size <= _FRAME_LIMIT:
+                raise ValueError(f"a frame of {size} bytes")
+            body = await buffered.receive_exactly(size)
+        receive(_decoder.decode(body))
--- /dev/null
+++ b/src/sandladder/placement.py
@@ -0,0 +1,376 @@
+"""The picture of the machines, and the choice of one for each waiting task.
+
+The picture is late by nature: it joins the records, the other controllers' summaries and
+the reports that came to us.  What is decided on it is checked again before it is committed
+(see premises).  Pure: no I/O, no clock; randomness comes from a seeded generator.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from random import Random
+from typing import NamedTuple
+
+from sandladder.delivery import Delivery
+from sandladder.lifecycle import LossProof, Placement, zones_allowed
+from sandladder.model import GANG, JOB, SERVICE, TEAM, Job, JobSpec, Machine, Mirror, Seen, Team
+from sandladder.premises import Gate, Intent, Resource, Room
+from sandladder.settings import Settings, TeamLimits
+
+# A machine that fails this many starts in a row is not trusted with more.
+SICK_ERRORS = 3
+# A job whose starts failed this often in a row is at fault itself; machines are not blamed.
+BAD_JOB_ERRORS = 4
+
+
+class Sight(NamedTuple):
+    """The best word on a machine: what it is, who says so, and how old that is."""
+
+    seen: Seen
+    clerk: str
+    age_s: float
+
+
+class Images:
+    """Which images a machine has, from the starts that the records show."""
+
+    def __init__(self) -> None:
+        self._held: dict[tuple[str, int], OrderedDict[str, tuple[float, float]]] = {}
+
+    def touch(
+        self, machine: str, session: int, spec: JobSpec, rate: float, cache_gb: float, now: float
+    ) -> None:
+        """A task that needs this image was put there."""
+        held = self._held.setdefault((machine, session), OrderedDict())
+        if spec.image in held:
+            held.move_to_end(spec.image)
+            return
+        held[spec.image] = (spec.image_gb, now + spec.image_gb / max(rate, 1e-6))
+        while len(held) > 1 and sum(gb for gb, _ in held.values()) > cache_gb:
+            held.popitem(last=False)
+
+    def wait_s(self, machine: str, session: int, image: str, now: float) -> float | None:
+        """How long until the image is there, or None if it must be fetched first."""
+        held = self._held.get((machine, session))
+        if held is None or image not in held:
+            return None
+        return max(0.0, held[image][1] - now)
+
+    def names(self, machine: str, session: int) -> list[str]:
+        return list(self._held.get((machine, session), ()))
+
+    def keep(self, machines: Iterable[str]) -> None:
+        """Forget machines that are gone."""
+        known = set(machines)
+        for key in [k for k in self._held if k[0] not in known]:
+            del self._held[key]
+
+
+class Picture:
+    """The current picture; evidence for the gate and ground for planning."""
+
+    def __init__(
+        self, settings: Settings, mirror: Mirror, delivery: Delivery, loss: LossProof, gate: Gate
+    ) -> None:
+        self.settings = settings
+        self.mirror = mirror
+        self.delivery = delivery
+        self.loss = loss
+        self.gate = gate
+        self.images = Images()
+        self.now = 0.0
+        self.limits = {t.name: t for t in settings.platform.deployment.teams}
+        self._touched: dict[str, int] = {}
+        workers = settings.platform.deployment.workers
+        # A report may be a quarter late; past two of them the machine is in doubt.
+        self.fresh_s = 2.5 * workers.report_s
+        self.summary_s = settings.operator.summary_reports * workers.report_s
+
+    # Evidence
+
+    def sight(self, machine: str) -> Sight | None:
+        """The freshest word on a machine."""
+        best: Sight | None = None
+        dialogue = self.delivery.machines.get(machine)
+        if dialogue is not None:
+            report = dialogue.report
+            notice = dialogue.notice_at
+            best = Sight(
+                Seen(
+                    type=report.type,
+                    zone=report.zone,
+                    spot=report.spot,
+                    session=report.session,
+                    age_s=0.0,
+                    notice_s=None if notice is None else notice - self.now,
+                    errors=dialogue.errors,
+                ),
+                self.settings.node,
+                self.now - dialogue.heard_at,
+            )
+        for node, summary, observed in self.loss.statements():
+            seen = summary.machines.get(machine)
+            if seen is None:
+                continue
+            age = seen.age_s + self.now - observed
+            if best is None or (seen.session, -age) > (best.seen.session, -best.age_s):
+                best = Sight(seen, node, age)
+        return best
+
+    def machines(self) -> set[str]:
+        """All machines that anyone has heard of lately."""
+        found = set(self.delivery.machines)
+        for _, summary, _ in self.loss.statements():
+            found.update(summary.machines)
+        return found
+
+    def room(self, machine: str) -> Room | None:
+        sight = self.sight(machine)
+        if sight is None:
+            return None
+        seen = sight.seen
+        kind = self.mirror.types.get(seen.type)
+        if kind is None:
+            return None
+        cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
+        for job, _, _ in self.mirror.attempts_on(machine):
+            cpus -= job.spec.cpus
+            gpus -= job.spec.gpus
+            memory -= job.spec.memory_gb
+        for intent in self.gate.on_machine(machine):
+            cpus -= intent.spec.cpus
+            gpus -= intent.spec.gpus
+            memory -= intent.spec.memory_gb
+        late = self.fresh_s + (0.0 if sight.clerk == self.settings.node else self.summary_s)
+        listed = self.mirror.fleet.get(machine)
+        usable = (
+            sight.age_s <= late
+            and seen.notice_s is None
+            and seen.errors < SICK_ERRORS
+            and (listed is None or listed.state not in ("draining", "gone"))
+        )
+        return Room(
+            machine,
+            seen.type,
+            seen.zone,
+            seen.spot,
+            seen.session,
+            sight.clerk,
+            cpus,
+            gpus,
+            memory,
+            usable,
+        )
+
+    def job(self, job_id: str) -> Job | None:
+        return self.mirror.jobs.get(job_id)
+
+    def team_left(self, team: str) -> tuple[float, float]:
+        limits = self.limits.get(team, TeamLimits(team))
+        held = self.mirror.teams.get(team, Team())
+        return limits.cpus_max - held.cpus, limits.gpus_max - held.gpus
+
+    def version(self, resource: Resource) -> int:
+        kind, name = resource
+        if kind == "machine":
+            return self._touched.get(name, 0)
+        if kind == "team":
+            return self.mirror.version(TEAM + name)
+        return self.mirror.version(JOB + name.partition("/")[0])
+
+    # Changes
+
+    def touch(self, machine: str) -> None:
+        """Something about this machine changed."""
+        self._touched[machine] = self._touched.get(machine, 0) + 1
+
+    def note_starts(self, job: Job) -> None:
+        """Learn from a job's record which images machines have or fetch."""
+        for attempt in job.live.values():
+            sight = self.sight(attempt.machine)
+            kind = self.mirror.types.get(sight.seen.type) if sight else None
+            if kind is not None:
+                self.images.touch(
+                    attempt.machine,
+                    attempt.session,
+                    job.spec,
+                    kind.fetch_gb_per_s,
+                    kind.cache_gb,
+                    self.now,
+                )
+
+    def forget(self) -> None:
+        """Drop what is known of machines that nobody speaks of any more."""
+        known = self.machines() | set(self.mirror.fleet) | set(self.mirror.on_machine)
+        self.images.keep(known)
+        self._touched = {m: v for m, v in self._touched.items() if m in known}
+
+    def fetch_s(self, spec: JobSpec, room: Room) -> float:
+        """How long a task would wait for its image there."""
+        wait = self.images.wait_s(room.id, room.session, spec.image, self.now)
+        if wait is not None:
+            return wait
+        sight = self.sight(room.id)
+        if sight is not None and spec.image in sight.seen.images:
+            return 0.0
+        kind = self.mirror.types[room.type]
+        return spec.image_gb / max(kind.fetch_gb_per_s, 1e-6)
+
+
+def allowed(spec: JobSpec, room: Room | Machine) -> bool:
+    """Whether the job's own wishes allow this machine."""
+    return (
+        (spec.types is None or room.type in spec.types)
+        and (spec.zone is None or room.zone == spec.zone)
+        and (spec.spot or not room.spot)
+    )
+
+
+def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> bool:
+    """Whether a task fits into this much room."""
+    slack = 1e-6
+    return (
+        spec.cpus <= cpus + slack
+        and spec.gpus <= gpus + slack
+        and spec.memory_gb <= memory_gb + slack
+    )
+
+
+def order_key(job: Job, held: Team, limits: TeamLimits) -> tuple[int, int, float]:
+    """Who goes first: priority, then teams within their guarantee, then the most urgent."""
+    spec = job.spec
+    within = held.cpus + spec.cpus <= limits.cpus + 1e-6
+    due = job.submitted + (spec.deadline_s if spec.deadline_s is not None else 1e9)
+    return -spec.priority, 0 if within else 1, min(due, job.submitted + 1e9)
+
+
+class Planner:
+    """Chooses machines for the waiting tasks of the jobs that are ours to place."""
+
+    def __init__(self, picture: Picture, rng: Random) -> None:
+        self.picture = picture
+        self.rng = rng
+        value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
+        # A job's record holds an item for each batch of starts on a machine; what is live
+        # at a time is bounded such that the record stays within the store's limit.
+        self.most_live = max(8, int(value_bytes * 0.6 / 56))
+
+    def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
+        """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off."""
+        picture = self.picture
+        jobs = [job for job in owned if job.waiting > 0 and barred.get(job.id, 0.0) <= picture.now]
+        if not jobs:
+            return []
+        jobs.sort(
+            key=lambda job: order_key(
+                job,
+                picture.mirror.teams.get(job.spec.team, Team()),
+                picture.limits.get(job.spec.team, TeamLimits(job.spec.team)),
+            )
+        )
+        rooms = {}
+        for machine in sorted(picture.machines()):
+            room = picture.room(machine)
+            if room is not None and room.usable:
+                rooms[machine] = room
+        pending: dict[str, list[Intent]] = {}
+        for intent in picture.gate.pending.values():
+            pending.setdefault(intent.spec.id, []).append(intent)
+        spent: dict[str, tuple[float, float]] = {}
+        for intent in picture.gate.pending.values():
+            cpus, gpus = spent.get(intent.spec.team, (0.0, 0.0))
+            spent[intent.spec.team] = cpus + intent.spec.cpus, gpus + intent.spec.gpus
+        admitted: list[Intent] = []
+        for job in jobs:
+            admitted += self._place(job, rooms, pending.get(job.id, []), spent)
+        return admitted
+
+    def _place(
+        self,
+        job: Job,
+        rooms: dict[str, Room],
+        waiting: list[Intent],
+        spent: dict[str, tuple[float, float]],
+    ) -> list[Intent]:
+        picture, spec = self.picture, job.spec
+        taken = {intent.placement.task for intent in waiting}
+        if spec.kind == GANG and (job.live or taken):
+            return []
+        left_cpus, left_gpus = picture.team_left(spec.team)
+        used_cpus, used_gpus = spent.get(spec.team, (0.0, 0.0))
+        left_cpus, left_gpus = left_cpus - used_cpus, left_gpus - used_gpus
+        zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
+        most = self.most_live - len(job.live) - len(taken)
+        trial = dict(rooms)
+        found: list[Intent] = []
+        for task in job.pending():
+            if task in taken:
+                continue
+            if len(found) >= most and spec.kind != GANG:
+                break
+            if spec.cpus > left_cpus + 1e-6 or spec.gpus > left_gpus + 1e-6:
+                break
+            room = self._choose(spec, trial, zones)
+            if room is None:
+                break
+            trial[room.id] = room._replace(
+                cpus=room.cpus - spec.cpus,
+                gpus=room.gpus - spec.gpus,
+                memory_gb=room.memory_gb - spec.memory_gb,
+            )
+            zones.append(room.zone)
+            left_cpus -= spec.cpus
+            left_gpus -= spec.gpus
+            placement = Placement(task, room.id, room.zone, room.session)
+            found.append(Intent(spec, placement, room.clerk))
+        if not found or (spec.kind == GANG and len(found) < job.waiting):
+            return []
+        rooms.update(trial)
+        spent[spec.team] = (
+            used_cpus + len(found) * spec.cpus,
+            used_gpus + len(found) * spec.gpus,
+        )
+        for intent in found:
+            picture.gate.admit(intent, picture)
+        return found
+
+    def _choose(self, spec: JobSpec, rooms: dict[str, Room], zones: list[str]) -> Room | None:
+        """The best fit among sampled machines; the sample grows until one fits well."""
+        able = [
+            room
+            for room in rooms.values()
+            if allowed(spec, room) and fits(spec, room.cpus, room.gpus, room.memory_gb)
+        ]
+        if spec.one_zone or spec.spread:
+            able = [room for room in able if zones_allowed(spec, [*zones, room.zone])]
+        size = self.picture.settings.operator.sample
+        self.rng.shuffle(able)
+        best: tuple[float, Room] | None = None
+        looked = 0
+        while looked < len(able):
+            for room in able[looked : looked + size]:
+                cost = self._cost(spec, room, zones)
+                if best is None or cost < best[0]:
+                    best = cost, room
+            looked += size
+            # Look further, in ever larger samples, while the best is not a close fit with
+            # its image at hand.
+            if best is not None and best[0] <= 0.1 * self._run_s(spec):
+                break
+            size = looked
+        return best[1] if best else None
+
+    def _run_s(self, spec: JobSpec) -> float:
+        return spec.estimate_s or self.picture.settings.platform.deployment.workers.lease_s
+
+    def _cost(self, spec: JobSpec, room: Room, zones: list[str]) -> float:
+        """What placing it there costs, in seconds of a task's time."""
+        kind = self.picture.mirror.types[room.type]
+        cost = self.picture.fetch_s(spec, room)
+        run_s = self._run_s(spec)
+        if spec.spot and not room.spot:
+            # Ordinary machines are dearer, and work that may not use others needs them.
+            cost += 0.5 * run_s
+        cost += 0.2 * run_s * (room.cpus - spec.cpus) / max(kind.cpus, 1.0)
+        if spec.kind == SERVICE and zones:
+            cost += run_s * zones.count(room.zone) / len(zones)
+        return cost
--- /dev/null
+++ b/src/sandladder/settings.py
@@ -0,0 +1,253 @@
+"""The settings: the platform's TOML file and the operators' own S-expressions.
+
+The platform's file may carry fields we do not know; they are ignored.  The operators'
+file is ours, so an unknown key there is a mistake and is refused.
+"""
+
+import tomllib
+from math import isfinite
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import sexpdata
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the text names the field."""
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Another controller, as the mesh reaches it."""
+
+    node_name: str
+    addr: str
+    location: str = ""
+
+
+class External(msgspec.Struct, frozen=True):
+    """Addresses of the services that the platform runs."""
+
+    cloud: str
+    state: str
+
+
+class TeamLimits(msgspec.Struct, frozen=True):
+    """A team's guarantee and its limit; 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"cls": "class"}):
+    """An aim of the users for a class of jobs, or for all of them."""
+
+    kind: str
+    cls: str | None = None
+    within_s: float | None = None
+    share: float = 0.9
+    times: float = 1.0
+
+
+class Workers(msgspec.Struct, frozen=True):
+    """How workers behave in time."""
+
+    report_s: float
+    lease_s: float
+    cancel_s: float
+    gang_wait_s: float = 40.0
+    gang_peer_s: float = 5.0
+
+
+class State(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    """Limits of the cloud."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Quota(msgspec.Struct, frozen=True):
+    """What one controller process may use."""
+
+    cpu: float = 1.0
+    memory_mb: float = 256.0
+    max_sockets: int = 1000
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """The figures that all controllers share."""
+
+    zones: list[str]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    teams: list[TeamLimits] = []
+    objectives: list[Objective] = []
+    skew_ms: float = 1000.0
+    quota: Quota = Quota()
+
+
+class Platform(msgspec.Struct, frozen=True):
+    """The platform's file for one controller."""
+
+    node_name: str
+    location: str
+    api_addr: str
+    mesh_addr: str
+    external: External
+    deployment: Deployment
+    peers: list[Peer] = []
+
+
+class Operator(msgspec.Struct, frozen=True, rename="kebab"):
+    """The operators' own settings; each is a ratio to a figure of the platform's file."""
+
+    # How long a controller's hold lasts, in worker leases: longer than an ordinary
+    # outage of the state service, so that such an outage ends no worker's lease.
+    hold_leases: float = 2.0
+    # How often a controller writes its room summary, in worker report intervals.
+    summary_reports: float = 1.0
+    # Machines sampled for a task before the sample grows.
+    sample: int = 4
+    # How long an idle machine is kept, in worker leases.
+    idle_leases: float = 2.5
+    # Spare room kept ready for work that must start at once, as a share of the
+    # room in use by such work.
+    spare_share: float = 0.15
+    # Silence after which an unreachable machine is returned, in worker leases.
+    silent_leases: float = 0.6
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Everything a controller is told."""
+
+    platform: Platform
+    operator: Operator = Operator()
+
+    @property
+    def node(self) -> str:
+        return self.platform.node_name
+
+    @property
+    def node_names(self) -> list[str]:
+        return sorted([self.node, *(peer.node_name for peer in self.platform.peers)])
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    """Split `host:port`; raises ValueError when it is not that."""
+    host, colon, port = addr.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not host:port: {addr!r}")
+    return host, int(port)
+
+
+def _positive(name: str, value: float) -> None:
+    if not isfinite(value) or value <= 0:
+        raise SettingsError(f"{name}: must be above 0, not {value}")
+
+
+def _check(platform: Platform) -> None:
+    d = platform.deployment
+    for name, addr in (
+        ("api_addr", platform.api_addr),
+        ("mesh_addr", platform.mesh_addr),
+        ("external.cloud", platform.external.cloud),
+        ("external.state", platform.external.state),
+        *((f"peers.{p.node_name}.addr", p.addr) for p in platform.peers),
+    ):
+        try:
+            split_addr(addr)
+        except ValueError as error:
+            raise SettingsError(f"{name}: {error}") from None
+    for group, names in (
+        (d.workers, ("report_s", "lease_s", "cancel_s", "gang_wait_s", "gang_peer_s")),
+        (d.state, ("rps", "write_rps", "value_kb")),
+        (d.cloud, ("rps",)),
+        (d.quota, ("cpu", "memory_mb", "max_sockets")),
+    ):
+        for name in names:
+            _positive(f"deployment.{type(group).__name__.lower()}.{name}", getattr(group, name))
+    if d.state.txn_ops < 4:
+        raise SettingsError("deployment.state.txn_ops: must be at least 4")
+    nodes = [platform.node_name, *(p.node_name for p in platform.peers)]
+    if len(set(nodes)) != len(nodes):
+        raise SettingsError("peers: node names must differ")
+    if len({t.name for t in d.teams}) != len(d.teams):
+        raise SettingsError("deployment.teams: names must differ")
+
+
+def load_platform(path: Path) -> Platform:
+    """Read and check the platform's file."""
+    try:
+        with path.open("rb") as file:
+            raw = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+    deployment = raw.get("deployment")
+    if isinstance(deployment, dict) and "quota" in raw:
+        deployment.setdefault("quota", raw["quota"])
+    try:
+        platform = msgspec.convert(raw, Platform, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    _check(platform)
+    return platform
+
+
+def parse_operator(text: str) -> Operator:
+    """Read the operators' settings: one list of `(key value)` pairs after a head symbol."""
+    try:
+        tree = sexpdata.loads(text)
+    except Exception as error:  # sexpdata raises its own kinds and plain ones
+        raise SettingsError(f"operator settings: {error}") from None
+    head = isinstance(tree, list) and tree and isinstance(tree[0], sexpdata.Symbol)
+    if not head or tree[0].value() != "sandladder":
+        raise SettingsError("operator settings: must be one list that starts with sandladder")
+    values: dict[str, Any] = {}
+    known = {field.encode_name for field in msgspec.structs.fields(Operator)}
+    for pair in tree[1:]:
+        if not isinstance(pair, list) or len(pair) != 2 or not isinstance(pair[0], sexpdata.Symbol):
+            raise SettingsError(f"operator settings: not a (key value) pair: {pair!r}")
+        key = pair[0].value()
+        if key not in known:
+            raise SettingsError(f"operator settings: unknown key {key}")
+        if key in values:
+            raise SettingsError(f"operator settings: {key} is given twice")
+        values[key] = pair[1]
+    try:
+        operator = msgspec.convert(values, Operator)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"operator settings: {error}") from None
+    for field in msgspec.structs.fields(Operator):
+        value = getattr(operator, field.name)
+        if not isfinite(value) or value < 0 or (value == 0 and field.name != "spare_share"):
+            raise SettingsError(f"operator settings: {field.encode_name}: must be above 0")
+    if operator.hold_leases < 0.5:
+        raise SettingsError("operator settings: hold-leases: must be at least 0.5")
+    return operator
+
+
+def load(config: Path, operator: Path | None = None) -> Settings:
+    """Read both files; the operators' one is optional."""
+    platform = load_platform(config)
+    if operator is None:
+        return Settings(platform)
+    try:
+        text = operator.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{operator}: {error}") from None
+    return Settings(platform, parse_operator(text))
--- /dev/null
+++ b/src/sandladder/store.py
@@ -0,0 +1,465 @@
+"""The state service: its client, one budget for its rate limits, the watch and the commits."""
+
+import logging
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+import anyio
+
+from sandladder import wire
+from sandladder.http import Client, HttpError, Response
+from sandladder.lifecycle import Refused, View
+from sandladder.model import PREFIXES, ROOT, Mirror
+from sandladder.settings import State
+
+log = logging.getLogger(__name__)
+
+
+class Unavailable(Exception):
+    """The state service did not carry the request out, or gave no answer to a reading."""
+
+
+class UnknownOutcome(Exception):
+    """A transaction got no answer: it may be applied now, later or never."""
+
+
+class NoLease(Exception):
+    """The lease has ended."""
+
+
+class Rejected(Exception):
+    """A transaction whose conditions did not hold."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class Signal:
+    """A flag that one routine waits for and others raise."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+
+    def set(self) -> None:
+        self._event.set()
+
+    async def wait(self, timeout: float | None = None) -> bool:
+        """Wait until raised, then lower it; False when the time ran out first."""
+        with anyio.move_on_after(timeout):
+            await self._event.wait()
+        raised = self._event.is_set()
+        self._event = anyio.Event()
+        return raised
+
+
+class Budget:
+    """Our share of a rate limit that all controllers use.
+
+    It starts at an equal share.  Refusals shrink it and successes let it grow, up to nearly
+    the whole when the others need little.
+    """
+
+    def __init__(self, whole: float, nodes: int) -> None:
+        self._least = 0.5 * whole / nodes
+        self._most = 0.9 * whole
+        self.rate = whole / nodes
+        self._tokens = self.rate
+        self._at = anyio.current_time()
+
+    def _refill(self) -> None:
+        now = anyio.current_time()
+        self._tokens = min(self.rate, self._tokens + (now - self._at) * self.rate)
+        self._at = now
+
+    def delay(self, amount: float) -> float:
+        """How long until this much may be spent; whole bursts go once the bucket is full."""
+        self._refill()
+        return max(0.0, (min(amount, self.rate) - self._tokens) / self.rate)
+
+    def spend(self, amount: float) -> None:
+        self._refill()
+        self._tokens -= amount
+
+    def allowed(self) -> None:
+        self.rate = min(self._most, self.rate * 1.01)
+
+    def refused(self) -> None:
+        self.rate = max(self._least, self.rate * 0.8)
+        self._tokens = min(self._tokens, 0.0)
+
+
+class StateClient:
+    """Requests to the state service."""
+
+    def __init__(self, host: str, port: int, limits: State, nodes: int, timeout: float) -> None:
+        self._client = Client(host, port, keep=6)
+        self._timeout = timeout
+        self.limits = limits
+        self.writes = Budget(limits.write_rps, nodes)
+        self.requests = Budget(limits.rps, nodes)
+        self.ok_at = float("-inf")  # when it last answered
+
+    async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
+        self.requests.spend(1)
+        answer = await self._client.request(method, target, body, timeout=self._timeout)
+        if answer.status == 429:
+            self.requests.refused()
+            raise Unavailable("over the rate limit")
+        if answer.status >= 500:
+            raise Unavailable(f"status {answer.status}")
+        self.ok_at = anyio.current_time()
+        self.requests.allowed()
+        return answer
+
+    async def _read(self, target: str) -> Response:
+        try:
+            return await self._request("GET", target)
+        except HttpError as error:
+            raise Unavailable(str(error)) from None
+
+    async def get(self, key: str) -> tuple[Any, int] | None:
+        """A key's value and version, or None."""
+        answer = await self._read(f"{wire.STORE}/{key}")
+        if answer.status == 404:
+            return None
+        return wire.parse_value(self._ok(answer))
+
+    async def read_all(self, prefix: str) -> tuple[int, list[tuple[str, Any, int]]]:
+        """All keys with a prefix, and the revision as of which at least they are complete."""
+        found: list[tuple[str, Any, int]] = []
+        after, least = "", None
+        while True:
+            answer = await self._read(wire.list_target(prefix, after))
+            revision, items, more = wire.parse_items(self._ok(answer))
+            least = revision if least is None else min(least, revision)
+            found += items
+            if not more or not items:
+                return least, found
+            after = items[-1][0]
+
+    async def follow(self, after: int) -> tuple[int, list[tuple[str, Any, int]]] | None:
+        """Changes after a revision, or None when those are no longer kept."""
+        answer = await self._read(wire.follow_target(ROOT, after, 0.0))
+        if answer.status == 410:
+            return None
+        return wire.parse_events(self._ok(answer))
+
+    @staticmethod
+    def _ok(answer: Response) -> bytes:
+        if answer.status != 200:
+            raise Unavailable(f"status {answer.status}")
+        return answer.body
+
+    async def commit(self, body: bytes, changes: int) -> int:
+        """Apply a transaction; the revision it got."""
+        self.writes.spend(changes)
+        self.requests.spend(1)
+        try:
+            answer = await self._client.request("POST", wire.COMMIT, body, timeout=self._timeout)
+        except HttpError as error:
+            raise UnknownOutcome(str(error)) from None
+        if answer.status == 429:
+            self.writes.refused()
+            raise Unavailable("over the rate limit")
+        if answer.status == 503:
+            raise Unavailable("status 503")
+        if answer.status >= 500:
+            raise UnknownOutcome(f"status {answer.status}")
+        self.ok_at = anyio.current_time()
+        if answer.status == 409:
+            raise Rejected(wire.parse_failed(answer.body))
+        if answer.status == 400:
+            text = wire.loads_map(answer.body).get("error")
+            if text == "no such lease":
+                raise NoLease
+            raise Refused(f"the state service refused a transaction: {text}")
+        self.writes.allowed()
+        return wire.parse_revision(self._ok(answer))
+
+    async def hold(self, ttl_s: float) -> int:
+        """A new lease."""
+        try:
+            answer = await self._request("POST", wire.HOLDS, wire.lease_body(ttl_s))
+        except HttpError as error:
+            raise Unavailable(str(error)) from None
+        return wire.parse_lease(self._ok(answer))
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease; raises NoLease when it has ended."""
+        try:
+            answer = await self._request("POST", f"{wire.HOLDS}/{lease}/renew")
+        except HttpError as error:
+            raise Unavailable(str(error)) from None
+        if answer.status == 404:
+            raise NoLease
+        self._ok(answer)
+
+
+class Watch:
+    """Keeps the mirror current, and tells when it is as new as a moment that just passed."""
+
+    def __init__(
+        self,
+        state: StateClient,
+        mirror: Mirror,
+        nodes: int,
+        on_change: Callable[[set[str]], None],
+        on_synced: Callable[[float], None],
+    ) -> None:
+        self._state = state
+        self._mirror = mirror
+        self._on_change = on_change
+        self._on_synced = on_synced
+        share = state.limits.rps / nodes
+        # On demand readings may take half of our share, idle ones a sixth.
+        self._spacing_s = 1 / (0.5 * share)
+        self._idle_s = 6 / share
+        self._demand = Signal()
+        self._waiting: list[anyio.Event] = []
+        self.loaded = False
+
+    async def barrier(self) -> None:
+        """Return once the mirror holds everything committed before this call."""
+        event = anyio.Event()
+        self._waiting.append(event)
+        self._demand.set()
+        await event.wait()
+
+    def poke(self) -> None:
+        """There is news, or soon will be."""
+        self._demand.set()
+
+    async def run(self) -> None:
+        """Read the changes again and again until cancelled."""
+        while True:
+            sent = anyio.current_time()
+            waiting, self._waiting = self._waiting, []
+            try:
+                await self._advance()
+            except (Unavailable, wire.Malformed) as error:
+                log.debug("reading the state service failed: %s", error)
+                self._waiting = waiting + self._waiting
+                await anyio.sleep(self._spacing_s * 2)
+                continue
+            self._on_synced(sent)
+            for event in waiting:
+                event.set()
+            left = self._spacing_s - (anyio.current_time() - sent)
+            await anyio.sleep(max(0.0, left))
+            if not self._waiting:
+                await self._demand.wait(self._idle_s)
+
+    async def _advance(self) -> None:
+        found = await self._state.follow(self._mirror.revision) if self.loaded else None
+        if found is None:
+            await self._load()
+            found = await self._state.follow(self._mirror.revision)
+            if found is None:
+                raise Unavailable("the log moved on while it was read")
+            self.loaded = True
+        changed = self._mirror.apply(*found)
+        if changed:
+            self._on_change(changed)
+
+    async def _load(self) -> None:
+        items: list[tuple[str, Any, int]] = []
+        revisions = []
+        for prefix in PREFIXES:
+            revision, found = await self._state.read_all(prefix)
+            revisions.append(revision)
+            items += found
+        changed = self._mirror.reset(min(revisions), items)
+        log.info("read %d records as of revision %d", len(items), min(revisions))
+        self._on_change(changed)
+
+
+class Change:
+    """Something to be committed: evaluated on the current records each time it is tried."""
+
+    def __init__(
+        self,
+        name: str,
+        priority: int,
+        cost: int,
+        apply: Callable[[View], bool],
+        *,
+        final: str = "",
+        leased: bool = False,
+    ) -> None:
+        self.name = name
+        self.priority = priority  # lower goes first
+        self.cost = cost  # puts and deletes it may take at most
+        self.apply = apply  # False: nothing to do any more
+        self.final = final  # a key whose existence settles the matter
+        self.leased = leased  # it puts a key under a lease
+        self.finished = anyio.Event()
+        self.error: Exception | None = None
+        self.abandoned = False
+
+    async def wait(self) -> None:
+        """Wait until it is committed; raises Refused when it does not hold."""
+        try:
+            await self.finished.wait()
+        except BaseException:
+            self.abandoned = True
+            raise
+        if self.error is not None:
+            raise self.error
+
+    def settle(self, error: Exception | None = None) -> None:
+        self.error = error
+        self.finished.set()
+
+
+class Committer:
+    """Joins waiting changes into transactions, one at a time, within the write budget."""
+
+    def __init__(
+        self,
+        state: StateClient,
+        mirror: Mirror,
+        watch: Watch,
+        rng: Random,
+        on_change: Callable[[set[str]], None],
+        most_queued: int = 2048,
+    ) -> None:
+        self._state = state
+        self._mirror = mirror
+        self._watch = watch
+        self._rng = rng
+        self._on_change = on_change
+        self._queue: list[Change] = []
+        self._work = Signal()
+        self._most_queued = most_queued
+        self._share = 1.0  # of a full transaction; rejections shrink it
+        self.committed = 0
+        self.rejected = 0
+
+    @property
+    def queued(self) -> int:
+        return len(self._queue)
+
+    @property
+    def full(self) -> bool:
+        """Whether new work of users should be turned away."""
+        return len(self._queue) >= self._most_queued
+
+    def add(self, change: Change) -> Change:
+        self._queue.append(change)
+        self._work.set()
+        return change
+
+    async def run(self) -> None:
+        """Commit what waits until cancelled."""
+        while True:
+            if not self._queue:
+                await self._work.wait()
+                continue
+            if not self._watch.loaded:
+                await anyio.sleep(0.05)
+                continue
+            await self._step()
+
+    async def _step(self) -> None:
+        self._queue = [c for c in self._queue if not c.abandoned]
+        if not self._queue:
+            return
+        self._queue.sort(key=lambda c: c.priority)
+        # What has least priority waits while the budget is short for what comes first.
+        delay = self._state.writes.delay(self._queue[0].cost)
+        if delay > 0:
+            await anyio.sleep(delay)
+            return
+        view, chosen = self._gather()
+        if not chosen:
+            return
+        changes = view.changes()
+        body = wire.commit_body(
+            view.guards.items(),
+            [(key, value, lease) for key, value, lease in changes if value is not None],
+            [key for key, value, _ in changes if value is None],
+        )
+        if len(body) > 0.6 * wire.BODY_LIMIT and len(chosen) > 1:
+            self._share = max(0.1, self._share / 2)
+            return
+        await self._send(body, changes, chosen)
+
+    def _gather(self) -> tuple[View, list[Change]]:
+        most = max(4, int(self._state.limits.txn_ops * self._share))
+        view = View(self._mirror)
+        chosen: list[Change] = []
+        for change in list(self._queue):
+            if chosen and (
+                view.size + change.cost > most
+                or len(view.guards) + 2 * change.cost > 4 * self._state.limits.txn_ops
+            ):
+                break
+            try:
+                useful = change.apply(view)
+            except Refused as refusal:
+                self._settle(change, refusal)
+                continue
+            except Exception as error:
+                log.exception("the change %s cannot be evaluated", change.name)
+                self._settle(change, Refused(str(error)))
+                continue
+            if useful:
+                chosen.append(change)
+            else:
+                self._settle(change)
+        return view, chosen
+
+    def _settle(self, change: Change, error: Exception | None = None) -> None:
+        if change in self._queue:
+            self._queue.remove(change)
+        change.settle(error)
+
+    async def _send(
+        self, body: bytes, changes: list[tuple[str, Any, int | None]], chosen: list[Change]
+    ) -> None:
+        try:
+            revision = await self._state.commit(body, len(changes))
+        except Rejected as rejection:
+            self.rejected += 1
+            log.debug("rejected: %s over %s", [c.name for c in chosen], rejection)
+            for change in chosen:
+                if change.final in rejection.failed:
+                    self._settle(change, Refused("known"))
+            self._share = max(0.25, self._share / 2)
+            # A rejected commit is revalidated: on newer records, after a jittered delay
+            # so that two controllers do not keep meeting.
+            await self._watch.barrier()
+            await anyio.sleep(self._rng.random() * 0.5 / self._state.limits.write_rps)
+        except UnknownOutcome as error:
+            log.info("a transaction had no answer (%s): reading back", error)
+            # Its guards make it harmless should it be applied later: what is done next
+            # moves the same versions, or finds them moved.
+            await self._watch.barrier()
+        except Unavailable as error:
+            log.debug("not committed: %s", error)
+            await anyio.sleep((0.5 + self._rng.random()) * 1.0 / self._state.limits.write_rps)
+        except NoLease:
+            for change in chosen:
+                if change.leased:
+                    self._settle(change, NoLease())
+        except Refused as refusal:
+            log.error("%s: %s", [c.name for c in chosen], refusal)
+            if len(chosen) == 1:
+                self._settle(chosen[0], refusal)
+            self._share = 0.1
+        else:
+            self.committed += 1
+            self._share = min(1.0, self._share * 1.5)
+            changed = self._mirror.wrote(revision, [(key, value) for key, value, _ in changes])
+            for change in chosen:
+                self._settle(change)
+            self._on_change(changed)
+
+
+class Renewal(NamedTuple):
+    """A lease and until when it surely lasts."""
+
+    lease: int
+    until: float
