--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -373,4 +373,8 @@
         cost += 0.2 * run_s * (room.cpus - spec.cpus) / max(kind.cpus, 1.0)
         if spec.kind == SERVICE and zones:
             cost += run_s * zones.count(room.zone) / len(zones)
+        if spec.kind == SERVICE:
+            # It stays for long: a large machine would have to be kept for its sake.
+            largest = max(t.cpus for t in self.picture.mirror.types.values())
+            cost += run_s * (room.cpus - spec.cpus) / largest
         return cost
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -20,6 +20,10 @@
 from sandladder.placement import SICK_ERRORS, Picture, allowed, fits, order_key
 from sandladder.settings import TeamLimits
 
+# Shares of the time that work may wait, past which spot or any machines are rented for it.
+_PRESSING_SPOT, _PRESSING_ANY = 0.1, 0.5
+_MOST_LACKING = 256
+
 
 class Wish(NamedTuple):
     """A rental to ask for."""
@@ -33,10 +37,10 @@
 class _Bin:
     """Room on a machine that is there, boots, or would be rented."""
 
-    __slots__ = ("type", "zone", "spot", "cpus", "gpus", "memory_gb", "new")
+    __slots__ = ("type", "zone", "spot", "cpus", "gpus", "memory_gb")
 
-    def __init__(self, kind: MachineType, zone: str, spot: bool, new: bool) -> None:
-        self.type, self.zone, self.spot, self.new = kind.name, zone, spot, new
+    def __init__(self, kind: MachineType, zone: str, spot: bool) -> None:
+        self.type, self.zone, self.spot = kind.name, zone, spot
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb
 
     def take(self, spec: JobSpec) -> bool:
@@ -48,6 +52,13 @@
         return True
 
 
+class _Lack(NamedTuple):
+    """A task without room; `any_kind` if it is worth an ordinary machine."""
+
+    spec: JobSpec
+    any_kind: bool
+
+
 class Provisioner:
     """Decides on rentals and returns for the whole fleet."""
 
@@ -60,6 +71,7 @@
         self._idle_since: dict[str, float] = {}
         self._sizes: dict[str, list[JobSpec]] = {}
         self._known: set[str] = set()
+        self._capacity = 0.0  # cores of all machines that can be counted on
         self._came_up: set[str] = set()  # machines that have reported
         # Classes whose aim for the start is shorter than machines take to boot.
         self._waits = {
@@ -88,31 +100,41 @@
         if not picture.mirror.types:
             return []
         bins = self._bins(wall)
-        lacking: list[JobSpec] = []
+        lacking: list[_Lack] = []
         teams = dict(picture.mirror.teams)
         jobs = sorted(
-            picture.mirror.jobs.values(),
+            (job for job in picture.mirror.jobs.values() if job.waiting),
             key=lambda job: order_key(
                 job,
                 picture.mirror.teams.get(job.spec.team, Team()),
                 picture.limits.get(job.spec.team, TeamLimits(job.spec.team)),
             ),
         )
+        backlog = 0.0
         for job in jobs:
-            lacking += self._unplaced(job, bins, teams, wall)
-        lacking += self._spares(bins)
-        return self._rent(lacking, bins)
+            spec, count = job.spec, self._startable(job, teams)
+            missing = count - self._fill(spec, count, bins)
+            backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
+            if missing:
+                eta_s = wall - job.submitted + backlog / max(self._capacity, spec.cpus)
+                any_kind = self._pressing(spec, eta_s)
+                if any_kind is not None:
+                    lacking += [_Lack(spec, any_kind)] * min(missing, _MOST_LACKING)
+        lacking += [_Lack(spec, True) for spec in self._spares(bins)]
+        return self._rent(lacking)
 
     def _bins(self, wall: float) -> list[_Bin]:
         picture = self.picture
         bins = []
+        self._capacity = 0.0
         heard = picture.machines()
         self._came_up |= heard
         self._came_up &= heard | set(picture.mirror.fleet)
         for machine in sorted(heard):
             room = picture.room(machine)
             if room is not None and room.usable:
-                found = _Bin(picture.mirror.types[room.type], room.zone, room.spot, False)
+                found = _Bin(picture.mirror.types[room.type], room.zone, room.spot)
+                self._capacity += found.cpus
                 found.cpus, found.gpus, found.memory_gb = room.cpus, room.gpus, room.memory_gb
                 bins.append(found)
         for machine, record in picture.mirror.fleet.items():
@@ -121,37 +143,51 @@
                 continue
             # A boot that takes long is no longer counted on.
             if wall - record.since <= 2.5 * kind.boot_s:
-                bins.append(_Bin(kind, record.zone, record.spot, False))
+                self._capacity += kind.cpus
+                bins.append(_Bin(kind, record.zone, record.spot))
         bins.sort(key=lambda b: (not b.spot, b.cpus))
         return bins
 
-    def _unplaced(
-        self, job: Job, bins: list[_Bin], teams: dict[str, Team], wall: float
-    ) -> list[JobSpec]:
+    def _startable(self, job: Job, teams: dict[str, Team]) -> int:
+        """How many waiting tasks the team's limit lets start; counts them as started."""
         spec = job.spec
         limits = self.picture.limits.get(spec.team, TeamLimits(spec.team))
         held = teams.get(spec.team, Team())
-        count = job.waiting
-        if spec.cpus > 0:
-            count = min(count, int((limits.cpus_max - held.cpus + 1e-6) / spec.cpus))
+        count = min(job.waiting, int((limits.cpus_max - held.cpus + 1e-6) / spec.cpus))
         if spec.gpus > 0:
             count = min(count, int((limits.gpus_max - held.gpus + 1e-6) / spec.gpus))
-        if count <= 0:
-            return []
+        count = max(0, count)
         teams[spec.team] = Team(held.cpus + count * spec.cpus, held.gpus + count * spec.gpus)
-        missing = 0
-        for _ in range(count):
-            if not any(allowed(spec, _as_machine(b)) and b.take(spec) for b in bins):
-                missing += 1
-        if missing and wall - job.submitted < self._patience_s(spec):
-            return []
-        return [spec] * missing
+        return count
 
-    def _patience_s(self, spec: JobSpec) -> float:
-        """How long work may wait for room to come free before more is rented."""
+    @staticmethod
+    def _fill(spec: JobSpec, count: int, bins: list[_Bin]) -> int:
+        """Put up to so many tasks into the bins; how many fit."""
+        placed = 0
+        for found in bins:
+            while placed < count and allowed(spec, _as_machine(found)) and found.take(spec):
+                placed += 1
+            if placed == count:
+                break
+        return placed
+
+    def _pressing(self, spec: JobSpec, eta_s: float) -> bool | None:
+        """Whether to rent for work that would start so late: None no, False spot only.
+
+        Machines already there come free in time for work that can wait; the cheaper kind is
+        rented early and the dearer one only when the aim itself is in danger.
+        """
         if spec.priority >= HIGH or spec.kind == SERVICE:
-            return 0.0
-        return 0.1 * self._waits.get(spec.cls, 0.0)
+            return True
+        allowance = self._waits.get(spec.cls)
+        if spec.deadline_s is not None:
+            slack = max(0.0, spec.deadline_s - 1.3 * spec.estimate_s)
+            allowance = slack if allowance is None else min(allowance, slack)
+        if allowance is None:
+            allowance = 10 * self._lease_s
+        if eta_s > _PRESSING_ANY * allowance:
+            return True
+        return False if spec.spot and eta_s > _PRESSING_SPOT * allowance else None
 
     def _spares(self, bins: list[_Bin]) -> list[JobSpec]:
         """Room to keep ready for classes that must start before a machine could boot."""
@@ -163,48 +199,51 @@
             spec = recent[-1]
             sizes = sorted(s.tasks for s in recent)
             count = sizes[len(sizes) // 2]
+            ratio = self.picture.settings.operator.spare_jobs
             if spec.priority < PRODUCTION:
-                count = max(1, round(count * 0.5))
-            for _ in range(count):
-                if not any(allowed(spec, _as_machine(b)) and b.take(spec) for b in bins):
-                    lacking.append(spec)
+                ratio *= 0.5
+            count = max(1, round(count * ratio)) if ratio else 0
+            lacking += [spec] * (count - self._fill(spec, count, bins))
         return lacking
 
-    def _rent(self, lacking: list[JobSpec], bins: list[_Bin]) -> list[Wish]:
+    def _rent(self, lacking: list[_Lack]) -> list[Wish]:
         wanted: Counter[tuple[str, str, bool]] = Counter()
         fresh: list[_Bin] = []
-        for index, spec in enumerate(lacking):
-            if any(allowed(spec, _as_machine(b)) and b.take(spec) for b in fresh):
+        for index, lack in enumerate(lacking):
+            if self._fill(lack.spec, 1, fresh):
                 continue
-            choice = self._cheapest(lacking[index:], spec, wanted)
+            choice = self._cheapest(lacking[index:], lack, wanted)
             if choice is None:
                 continue
             kind, zone, spot = choice
             wanted[kind.name, zone, spot] += 1
-            new = _Bin(kind, zone, spot, True)
-            new.take(spec)
+            new = _Bin(kind, zone, spot)
+            new.take(lack.spec)
             fresh.append(new)
         return [Wish(t, z, s, min(n, 50)) for (t, z, s), n in wanted.items()]
 
     def _cheapest(
-        self, rest: list[JobSpec], spec: JobSpec, wanted: Counter[tuple[str, str, bool]]
+        self, rest: list[_Lack], lack: _Lack, wanted: Counter[tuple[str, str, bool]]
     ) -> tuple[MachineType, str, bool] | None:
         """The offer with the lowest price for each core that would be used."""
-        picture = self.picture
+        picture, spec = self.picture, lack.spec
         best: tuple[float, MachineType, str, bool] | None = None
         fleet = Counter((m.type, m.zone, m.spot) for m in picture.mirror.fleet.values())
+        # Services stay for long and the rest goes: a machine is filled with one of the two.
+        alike = [o.spec for o in rest if (o.spec.kind == SERVICE) == (spec.kind == SERVICE)]
         for kind in picture.mirror.types.values():
             if not kind.fits(spec):
                 continue
             cpus, memory, used = kind.cpus, kind.memory_gb, 0.0
-            for other in rest:
+            for other in alike:
                 if other.cpus <= cpus + 1e-6 and other.memory_gb <= memory + 1e-6:
                     cpus -= other.cpus
                     memory -= other.memory_gb
                     used += other.cpus
                     if cpus < 1e-6:
                         break
-            for spot in (True, False) if spec.spot else (False,):
+            kinds = [True] * spec.spot + [False] * (lack.any_kind or not spec.spot)
+            for spot in kinds:
                 price = kind.spot_price if spot else kind.price
                 if price <= 0:
                     continue
@@ -225,7 +264,6 @@
         """Machines to drain: idle for long, sick, or silent."""
         picture = self.picture
         now = picture.now
-        keep_s = picture.settings.operator.idle_leases * self._lease_s
         idle = []
         for machine in picture.machines():
             room = picture.room(machine)
@@ -235,6 +273,9 @@
             if room is None or busy or not room.usable:
                 self._idle_since.pop(machine, None)
                 continue
+            # Renting anew costs a boot, so an idle machine is kept for about as long.
+            boot_s = picture.mirror.types[room.type].boot_s
+            keep_s = picture.settings.operator.idle_boots * boot_s
             if now - self._idle_since.setdefault(machine, now) >= keep_s:
                 idle.append(machine)
         chosen = [m for m in idle if self._dispensable(m, wall)][:1]
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -121,11 +121,11 @@
     summary_reports: float = 1.0
     # Machines sampled for a task before the sample grows.
     sample: int = 4
-    # How long an idle machine is kept, in worker leases.
-    idle_leases: float = 2.5
-    # Spare room kept ready for work that must start at once, as a share of the
-    # room in use by such work.
-    spare_share: float = 0.15
+    # How long an idle machine is kept, in boot times of its type.
+    idle_boots: float = 1.0
+    # Room kept ready for work that must start before a machine could boot, in typical
+    # jobs of each such class.
+    spare_jobs: float = 1.0
     # Silence after which an unreachable machine is returned, in worker leases.
     silent_leases: float = 0.6
 
@@ -234,7 +234,7 @@
         raise SettingsError(f"operator settings: {error}") from None
     for field in msgspec.structs.fields(Operator):
         value = getattr(operator, field.name)
-        if not isfinite(value) or value < 0 or (value == 0 and field.name != "spare_share"):
+        if not isfinite(value) or value < 0 or (value == 0 and field.name != "spare_jobs"):
             raise SettingsError(f"operator settings: {field.encode_name}: must be above 0")
     if operator.hold_leases < 0.5:
         raise SettingsError("operator settings: hold-leases: must be at least 0.5")
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -76,7 +76,9 @@
     def delay(self, amount: float) -> float:
         """How long until this much may be spent; whole bursts go once the bucket is full."""
         self._refill()
-        return max(0.0, (min(amount, self.rate) - self._tokens) / self.rate)
+        short = min(amount, self.rate) - self._tokens
+        # Timers do not resolve less than a millisecond or so: a shorter wait is none.
+        return 0.0 if short <= 0 else max(0.001, short / self.rate)
 
     def spend(self, amount: float) -> None:
         self._refill()
