--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -260,24 +260,34 @@
                 log.info("draining %s", machine)
                 chosen[machine] = Machine(room.type, room.zone, room.spot, "draining", wall)
         if self._c.loss.up_s(anyio.current_time()) > self._c.lease_s:
-            for machine in self._provision.silent(wall):
-                if mirror.fleet[machine].state == "rented" and await self._unreachable(machine):
-                    log.info("machine %s is silent", machine)
-                    chosen[machine] = mirror.fleet[machine]._replace(state="draining", since=wall)
+            doubtful = [
+                m for m in self._provision.silent(wall) if mirror.fleet[m].state == "rented"
+            ]
+            for machine in await self._unreachable(doubtful):
+                log.info("machine %s is silent", machine)
+                chosen[machine] = mirror.fleet[machine]._replace(state="draining", since=wall)
         if chosen:
             await self._set(chosen)
 
-    async def _unreachable(self, machine: str) -> bool:
-        """Whether a machine does not answer us either."""
-        dialogue = self._c.delivery.machines.get(machine)
-        if dialogue is None:
-            return True
-        client = self._c.connect(*split_addr(dialogue.report.addr), keep=0)
-        try:
-            await client.request("GET", "/status", timeout=self._c.report_s / 2)
-        except HttpError:
-            return True
-        return False
+    async def _unreachable(self, machines: list[str]) -> list[str]:
+        """Those of the machines that do not answer us either."""
+        found: list[str] = []
+
+        async def probe(machine: str) -> None:
+            dialogue = self._c.delivery.machines.get(machine)
+            if dialogue is not None:
+                client = self._c.connect(*split_addr(dialogue.report.addr), keep=0)
+                try:
+                    await client.request("GET", wire.STATUS, timeout=self._c.report_s / 2)
+                    return
+                except HttpError:
+                    pass
+            found.append(machine)
+
+        async with anyio.create_task_group() as tasks:
+            for machine in machines:
+                tasks.start_soon(probe, machine)
+        return found
 
     async def _return(self, wall: float) -> None:
         """Return drained machines, and silent ones whatever they were doing."""
--- a/src/sandladder/delivery.py
+++ b/src/sandladder/delivery.py
@@ -33,7 +33,7 @@
         # A start went out in an answer that the machine may not have taken yet.
         self.start_in_answer = False
         self.sending = False  # a direct command is under way
-        self.errors = 0
+        self.failed: set[str] = set()  # jobs that failed here since one succeeded
         self.blamed: set[Key] = set()
 
     @property
@@ -81,7 +81,7 @@
         elif report.session != dialogue.report.session:
             dialogue.seen = set()
             dialogue.blamed = set()
-            dialogue.errors = 0
+            dialogue.failed = set()
             # An earlier session's commands are refused by the machine itself.
             dialogue.tainted = None
         dialogue.report = report
@@ -104,15 +104,15 @@
         return Heard(dialogue, True)
 
     def _blame(self, dialogue: Dialogue) -> None:
-        """Count the starts in a row that failed here."""
+        """Note which jobs failed here in a row."""
         for key, entry in dialogue.entries.items():
             if entry.state != "exited" or key in dialogue.blamed:
                 continue
             dialogue.blamed.add(key)
             if entry.cause == "error":
-                dialogue.errors += 1
+                dialogue.failed.add(entry.job)
             elif entry.cause == "done":
-                dialogue.errors = 0
+                dialogue.failed = set()
         dialogue.blamed &= dialogue.entries.keys()
 
     def lost_touch(self, machine: str) -> None:
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -12,14 +12,26 @@
 
 from sandladder.delivery import Delivery
 from sandladder.lifecycle import LossProof, Placement, zones_allowed
-from sandladder.model import GANG, JOB, SERVICE, TEAM, Job, JobSpec, Machine, Mirror, Seen, Team
+from sandladder.model import (
+    ARRAY,
+    GANG,
+    HIGH,
+    JOB,
+    SERVICE,
+    TEAM,
+    Job,
+    JobSpec,
+    Machine,
+    Mirror,
+    Seen,
+    Team,
+)
 from sandladder.premises import Gate, Intent, Resource, Room
 from sandladder.settings import Settings, TeamLimits
 
-# A machine that fails this many starts in a row is not trusted with more.
-SICK_ERRORS = 3
-# A job whose starts failed this often in a row is at fault itself; machines are not blamed.
-BAD_JOB_ERRORS = 4
+# A machine on which so many different jobs failed in a row is not trusted with more.  One
+# job alone proves nothing: it may fail everywhere.
+SICK_ERRORS = 2
 
 
 class Sight(NamedTuple):
@@ -30,6 +42,16 @@
     age_s: float
 
 
+class Victim(NamedTuple):
+    """A running task that is to make room."""
+
+    job: str
+    task: int
+    machine: str
+    grace_s: float
+    reason: str
+
+
 class Images:
     """Which images a machine has, from the starts that the records show."""
 
@@ -102,7 +124,7 @@
                     session=report.session,
                     age_s=0.0,
                     notice_s=None if notice is None else notice - self.now,
-                    errors=dialogue.errors,
+                    errors=len(dialogue.failed),
                 ),
                 self.settings.node,
                 self.now - dialogue.heard_at,
@@ -204,6 +226,11 @@
         self.images.keep(known)
         self._touched = {m: v for m, v in self._touched.items() if m in known}
 
+    def fetch_wait_s(self, spec: JobSpec, placement: Placement) -> float:
+        """How long a placed task still waits for its image."""
+        wait = self.images.wait_s(placement.machine, placement.session, spec.image, self.now)
+        return 0.0 if wait is None else wait
+
     def fetch_s(self, spec: JobSpec, room: Room) -> float:
         """How long a task would wait for its image there."""
         wait = self.images.wait_s(room.id, room.session, spec.image, self.now)
@@ -249,6 +276,14 @@
     def __init__(self, picture: Picture, rng: Random) -> None:
         self.picture = picture
         self.rng = rng
+        self.avoid: dict[str, set[str]] = {}  # by job, the machines it failed on
+        self._claims: dict[tuple[str, int], float] = {}  # stops are under way for these
+        deployment = picture.settings.platform.deployment
+        self.waits = {
+            o.cls: o.within_s
+            for o in deployment.objectives
+            if o.kind == "wait" and o.cls is not None and o.within_s is not None
+        }
         value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
         # A job's record holds an item for each batch of starts on a machine; what is live
         # at a time is bounded such that the record stays within the store's limit.
@@ -333,6 +368,83 @@
             picture.gate.admit(intent, picture)
         return found
 
+    def preempt(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Victim]:
+        """Running tasks of lower priority to stop for work that must start at once."""
+        picture = self.picture
+        report_s = picture.settings.platform.deployment.workers.report_s
+        self._claims = {k: until for k, until in self._claims.items() if until > picture.now}
+        if not picture.mirror.types:
+            return []
+        boot_s = min(kind.boot_s for kind in picture.mirror.types.values())
+        victims: list[Victim] = []
+        chosen: set[tuple[str, int]] = set()
+        for job in sorted(owned, key=lambda j: (-j.spec.priority, j.submitted)):
+            spec = job.spec
+            within = self.waits.get(spec.cls)
+            # Where a machine boots in time for the aim, nothing is stopped.
+            urgent = spec.priority >= HIGH and within is not None and within < boot_s
+            if not urgent or within is None or spec.kind == GANG or not job.waiting:
+                continue
+            if barred.get(job.id, 0.0) > picture.now:
+                continue
+            left_cpus, left_gpus = picture.team_left(spec.team)
+            for task in job.pending():
+                key = (job.id, task)
+                if left_cpus < spec.cpus or left_gpus < spec.gpus:
+                    break
+                left_cpus -= spec.cpus
+                left_gpus -= spec.gpus
+                if key in self._claims or key in picture.gate.pending:
+                    continue
+                found = self._victims(job, within, chosen)
+                if found is None:
+                    break
+                self._claims[key] = picture.now + 2 * report_s
+                chosen.update((v.job, v.task) for v in found)
+                victims += found
+        return victims
+
+    def _victims(
+        self, job: Job, within_s: float, chosen: set[tuple[str, int]]
+    ) -> list[Victim] | None:
+        """The cheapest set of tasks on one machine whose end makes room for a task."""
+        picture, spec = self.picture, job.spec
+        zones = [attempt.zone for attempt in job.live.values()]
+        best: tuple[float, list[Victim]] | None = None
+        for machine in sorted(picture.machines()):
+            room = picture.room(machine)
+            if room is None or not room.usable or not allowed(spec, room):
+                continue
+            if not zones_allowed(spec, [*zones, room.zone]):
+                continue
+            cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
+            if any(a.stop is not None for _, _, a in picture.mirror.attempts_on(machine)):
+                continue  # room is being made there already
+            cost = 2 * picture.fetch_s(spec, room)
+            found: list[Victim] = []
+            running = sorted(
+                picture.mirror.attempts_on(machine),
+                key=lambda item: (item[0].spec.priority, -item[2].attempt, -item[1]),
+            )
+            for other, task, _ in running:
+                if fits(spec, cpus, gpus, memory):
+                    break
+                lesser = other.spec
+                if lesser.priority >= spec.priority or lesser.kind != ARRAY:
+                    continue
+                if (other.id, task) in chosen:
+                    continue
+                cpus += lesser.cpus
+                gpus += lesser.gpus
+                memory += lesser.memory_gb
+                saves = lesser.checkpoint_s > 0 and 2 * lesser.save_s < within_s
+                grace = 1.5 * lesser.save_s if saves else 0.0
+                cost += (lesser.estimate_s * lesser.cpus / spec.cpus) * (0.2 if saves else 1.0)
+                found.append(Victim(other.id, task, machine, grace, job.id))
+            if found and fits(spec, cpus, gpus, memory) and (best is None or cost < best[0]):
+                best = cost, found
+        return best[1] if best else None
+
     def _choose(self, spec: JobSpec, rooms: dict[str, Room], zones: list[str]) -> Room | None:
         """The best fit among sampled machines; the sample grows until one fits well."""
         able = [
@@ -340,6 +452,9 @@
             for room in rooms.values()
             if allowed(spec, room) and fits(spec, room.cpus, room.gpus, room.memory_gb)
         ]
+        shunned = self.avoid.get(spec.id)
+        if shunned:
+            able = [room for room in able if room.id not in shunned] or able
         if spec.one_zone or spec.spread:
             able = [room for room in able if zones_allowed(spec, [*zones, room.zone])]
         size = self.picture.settings.operator.sample
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -305,7 +305,7 @@
                 continue
             if wall - record.since > limit:
                 doubtful.append(machine)
-        if len(doubtful) > max(1, (len(heard_lately) + len(doubtful)) // 4):
+        if len(doubtful) > max(1, (len(heard_lately) + len(doubtful)) // 2):
             return []
         return doubtful
 
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -57,26 +57,27 @@
 class Budget:
     """Our share of a rate limit that all controllers use.
 
-    It starts at an equal share.  Refusals shrink it and successes let it grow, up to nearly
-    the whole when the others need little.
+    It starts at nearly the whole, which is ours while the others need little.  Refusals
+    shrink it to half an equal share at least, successes let it grow again.
     """
 
     def __init__(self, whole: float, nodes: int) -> None:
         self._least = 0.5 * whole / nodes
         self._most = 0.9 * whole
-        self.rate = whole / nodes
-        self._tokens = self.rate
+        self._burst = 0.7 * whole
+        self.rate = self._most
+        self._tokens = self._burst
         self._at = anyio.current_time()
 
     def _refill(self) -> None:
         now = anyio.current_time()
-        self._tokens = min(self.rate, self._tokens + (now - self._at) * self.rate)
+        self._tokens = min(self._burst, self._tokens + (now - self._at) * self.rate)
         self._at = now
 
     def delay(self, amount: float) -> float:
         """How long until this much may be spent; whole bursts go once the bucket is full."""
         self._refill()
-        short = min(amount, self.rate) - self._tokens
+        short = min(amount, self._burst) - self._tokens
         # Timers do not resolve less than a millisecond or so: a shorter wait is none.
         return 0.0 if short <= 0 else max(0.001, short / self.rate)
 
@@ -85,7 +86,7 @@
         self._tokens -= amount
 
     def allowed(self) -> None:
-        self.rate = min(self._most, self.rate * 1.01)
+        self.rate = min(self._most, self.rate * 1.03)
 
     def refused(self) -> None:
         self.rate = max(self._least, self.rate * 0.8)
--- a/tests/world.py
+++ b/tests/world.py
@@ -421,6 +421,7 @@
             self.world.full += 1
         elif self.sick or spec["docket"] == "broken":
             task.state, task.cause = "exited", "error"
+            self.world.errors += 1
         self.tasks[key] = task
         self.changed.set()
 
@@ -645,6 +646,7 @@
         self.broken: list[str] = []
         self.starts: Counter[str] = Counter()
         self.full = 0
+        self.errors = 0
         self.lapsed = 0
 
     def start(self, tasks: Any) -> None:
