--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -88,6 +88,7 @@
         self._held: Renewal | None = None
         self._hires = 0
         self._listed: dict[str, float] = {}  # machine -> when a list last showed it
+        self._addrs: dict[str, str] = {}
         self._next_list = 0.0
         self._next_types = 0.0
 
@@ -206,6 +207,7 @@
         for item in listed:
             record = fleet.get(item.id)
             self._listed[item.id] = now
+            self._addrs[item.id] = item.addr
             if record is None:
                 if item.state != "failed":
                     born = wall - max(0.0, item.age_s)
@@ -233,6 +235,7 @@
         if failed:
             await self._c.cloud.give_back(failed[:100])
         await self._forget_gone(wall)
+        self._addrs = {m: a for m, a in self._addrs.items() if m in self._listed}
         self._listed = {m: t for m, t in self._listed.items() if now - t < 10 * self._lag_s}
 
     async def _forget_gone(self, wall: float) -> None:
@@ -274,15 +277,13 @@
         found: list[str] = []
 
         async def probe(machine: str) -> None:
-            dialogue = self._c.delivery.machines.get(machine)
-            if dialogue is not None:
-                client = self._c.connect(*split_addr(dialogue.report.addr), keep=0)
-                try:
-                    await client.request("GET", wire.STATUS, timeout=self._c.report_s / 2)
-                    return
-                except HttpError:
-                    pass
-            found.append(machine)
+            if machine not in self._addrs:
+                return
+            client = self._c.connect(*split_addr(self._addrs[machine]), keep=0)
+            try:
+                await client.request("GET", wire.STATUS, timeout=self._c.report_s / 2)
+            except HttpError:
+                found.append(machine)
 
         async with anyio.create_task_group() as tasks:
             for machine in machines:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -59,7 +59,7 @@
 log = logging.getLogger(__name__)
 
 # Priorities of changes: lower goes first.
-_P_HOLD, _P_USER, _P_WORK, _P_SUMMARY = 0, 1, 2, 3
+_P_HOLD, _P_USER, _P_WORK = 0, 1, 2
 
 
 _BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
@@ -279,7 +279,7 @@
         """Write the room summary every few seconds, sooner when a machine comes or goes."""
         period = self.settings.operator.summary_reports * self.report_s
         while True:
-            urgent = await self._summary_due.wait(period)
+            await self._summary_due.wait(period)
             if not self.alive() or self._renewal is None:
                 await anyio.sleep(self.report_s / 6)
                 continue
@@ -291,7 +291,8 @@
 
             try:
                 await self.committer.add(
-                    Change("summary", _P_WORK if urgent else _P_SUMMARY, 1, apply, leased=True)
+                    # Others place on our machines by what it says: it must not starve.
+                    Change("summary", _P_USER, 1, apply, leased=True)
                 ).wait()
             except NoLease:
                 self._renewal, self._present = None, False
@@ -773,11 +774,30 @@
         if peer is None:
             return await self._guarded(lambda: self._route(request), path)
         if self._state_ok():
-            with anyio.move_on_after(self.report_s / 8):
-                return await self._guarded(lambda: self._route(request), path)
-            log.info("the state service is slow: %s goes to %s", path, peer)
+            answer = await self._unless_cut_off(request, path)
+            if answer is not None:
+                return answer
+            log.info("the state service does not answer: %s goes to %s", path, peer)
         return await self._relay(request, peer)
 
+    async def _unless_cut_off(self, request: Request, path: str) -> Response | None:
+        """Serve a request here, but give up when the state service stops answering us."""
+        served = _Asked()
+
+        async def serve() -> None:
+            served.answer = await self._guarded(lambda: self._route(request), path)
+            served.arrived.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve)
+            while served.answer is None:
+                with anyio.move_on_after(self.report_s / 16):
+                    await served.arrived.wait()
+                if anyio.current_time() - self.state.ok_at > self.report_s / 8:
+                    break
+            tasks.cancel_scope.cancel()
+        return served.answer
+
     async def _guarded(self, serve: Callable[[], Awaitable[Response]], path: str) -> Response:
         """Turn whatever goes wrong into an answer."""
         try:
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -119,6 +119,7 @@
     spot: bool
     state: str
     age_s: float
+    addr: str
 
 
 class Attempt(NamedTuple):
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -15,7 +15,6 @@
 from sandladder.model import (
     ARRAY,
     GANG,
-    HIGH,
     JOB,
     SERVICE,
     TEAM,
@@ -382,7 +381,7 @@
             spec = job.spec
             within = self.waits.get(spec.cls)
             # Where a machine boots in time for the aim, nothing is stopped.
-            urgent = spec.priority >= HIGH and within is not None and within < boot_s
+            urgent = spec.priority >= PRODUCTION and within is not None and within < boot_s
             if not urgent or within is None or spec.kind == GANG or not job.waiting:
                 continue
             if barred.get(job.id, 0.0) > picture.now:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -295,6 +295,10 @@
         heard_lately = set()
         doubtful = []
         limit = picture.settings.operator.silent_leases * self._lease_s
+        # A controller whose own word is old may well hear machines that we do not: its
+        # summaries can be held up, and silence of the controller is not the machine's.
+        if any(picture.now - seen > limit for _, _, seen in picture.loss.statements()):
+            return []
         for machine in picture.machines():
             sight = picture.sight(machine)
             if sight is not None and sight.age_s <= limit:
--- a/src/sandladder/wire.py
+++ b/src/sandladder/wire.py
@@ -315,6 +315,7 @@
             spot=item.get("loaners") is True,
             state={"starting": "booting"}.get(str(item.get("standing")), str(item.get("standing"))),
             age_s=_number(item, "age_s", -1e9),
+            addr=_text(item, "addr"),
         )
         for item in items
         if isinstance(item, dict)
