--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -176,9 +176,12 @@
             try:
                 await duty()
             except Exception:
-                log.exception("a duty failed: %s", getattr(duty, "__qualname__", duty))
+                self._duty_failed(getattr(duty, "__qualname__", str(duty)))
             await anyio.sleep(self.report_s / 3)
 
+    def _duty_failed(self, name: str) -> None:
+        log.exception("a duty failed: %s", name)
+
     # The hold and the term
 
     def alive(self) -> bool:
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import sys
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -211,6 +212,9 @@
         )
         self.links = {n: FakeLink(world, self.node, n) for n in self.nodes if n != self.node}
 
+    def _duty_failed(self, name: str) -> None:
+        self._world.breaks("duty", f"{name}: {sys.exc_info()[1]!r}")
+
     def _listen(self, tasks: Any) -> None:
         async def beats() -> None:
             while True:
