--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -16,6 +16,7 @@
     ARRAY,
     GANG,
     JOB,
+    PRODUCTION,
     SERVICE,
     TEAM,
     Job,
