--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -621,7 +621,8 @@
                 batches.setdefault(intent.spec.id, []).append(intent)
             for job_id, intents in batches.items():
                 self._commit_starts(job_id, intents)
-            for victim in self.planner.preempt(self._owned(), self._barred):
+            owned = self._owned()
+            for victim in self.planner.preempt(owned, self._barred) + self.planner.moves(owned):
                 self._commit_stop(victim)
             await anyio.sleep(self.report_s / 100)
 
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -183,6 +183,23 @@
             usable,
         )
 
+    def usable_rooms(self) -> dict[str, Room]:
+        """All machines that can be given work."""
+        rooms = {}
+        for machine in sorted(self.machines()):
+            room = self.room(machine)
+            if room is not None and room.usable:
+                rooms[machine] = room
+        return rooms
+
+    def leaving(self, machine: str) -> str:
+        """Why a machine is about to go, or an empty text."""
+        listed = self.mirror.fleet.get(machine)
+        if listed is not None and listed.state == "draining":
+            return "draining"
+        sight = self.sight(machine)
+        return "notice" if sight is not None and sight.seen.notice_s is not None else ""
+
     def job(self, job_id: str) -> Job | None:
         return self.mirror.jobs.get(job_id)
 
@@ -302,11 +319,7 @@
                 picture.limits.get(job.spec.team, TeamLimits(job.spec.team)),
             )
         )
-        rooms = {}
-        for machine in sorted(picture.machines()):
-            room = picture.room(machine)
-            if room is not None and room.usable:
-                rooms[machine] = room
+        rooms = picture.usable_rooms()
         pending: dict[str, list[Intent]] = {}
         for intent in picture.gate.pending.values():
             pending.setdefault(intent.spec.id, []).append(intent)
@@ -404,6 +417,36 @@
                 victims += found
         return victims
 
+    def moves(self, owned: Iterable[Job]) -> list[Victim]:
+        """Replicas to move off machines that are about to go, once there is room elsewhere."""
+        picture = self.picture
+        report_s = picture.settings.platform.deployment.workers.report_s
+        rooms: dict[str, Room] | None = None
+        found: list[Victim] = []
+        for job in owned:
+            spec = job.spec
+            if spec.kind != SERVICE or job.cancelled:
+                continue
+            for task, attempt in job.live.items():
+                key = (job.id, task)
+                if attempt.stop is not None or key in self._claims:
+                    continue
+                reason = picture.leaving(attempt.machine)
+                # Draining can take its time: one replica of a service after the other.
+                if not reason or (reason == "draining" and any(v.reason == reason for v in found)):
+                    continue
+                if rooms is None:
+                    rooms = picture.usable_rooms()
+                zones = [a.zone for t, a in job.live.items() if t != task]
+                room = self._choose(spec, rooms, zones)
+                if room is None:
+                    continue
+                rooms[room.id] = room._replace(cpus=room.cpus - spec.cpus)
+                self._claims[key] = picture.now + 2 * report_s
+                grace = 1.5 * spec.save_s
+                found.append(Victim(job.id, task, attempt.machine, grace, reason))
+        return found
+
     def _victims(
         self, job: Job, within_s: float, chosen: set[tuple[str, int]]
     ) -> list[Victim] | None:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -23,6 +23,9 @@
 # Shares of the time that work may wait, past which spot or any machines are rented for it.
 _PRESSING_SPOT, _PRESSING_ANY = 0.1, 0.5
 _MOST_LACKING = 256
+# A machine is given up when less than this share of it is used, and what uses it would cost
+# so many times less elsewhere.
+_WASTEFUL_USE, _WASTEFUL_PRICE = 0.4, 1.6
 
 
 class Wish(NamedTuple):
@@ -71,6 +74,8 @@
         self._idle_since: dict[str, float] = {}
         self._sizes: dict[str, list[JobSpec]] = {}
         self._known: set[str] = set()
+        self._pressed = False  # some work lacks room
+        self._wasteful_since: dict[str, float] = {}
         self._capacity = 0.0  # cores of all machines that can be counted on
         self._came_up: set[str] = set()  # machines that have reported
         # Classes whose aim for the start is shorter than machines take to boot.
@@ -120,6 +125,12 @@
                 any_kind = self._pressing(spec, eta_s)
                 if any_kind is not None:
                     lacking += [_Lack(spec, any_kind)] * min(missing, _MOST_LACKING)
+        self._pressed = bool(lacking)
+        for machine, record in picture.mirror.fleet.items():
+            if record.state == "draining":
+                for job, _, _ in picture.mirror.attempts_on(machine):
+                    if job.spec.kind == SERVICE and not self._fill(job.spec, 1, bins):
+                        lacking.append(_Lack(job.spec, True))
         lacking += [_Lack(spec, True) for spec in self._spares(bins)]
         return self._rent(lacking)
 
@@ -177,7 +188,7 @@
         Machines already there come free in time for work that can wait; the cheaper kind is
         rented early and the dearer one only when the aim itself is in danger.
         """
-        if spec.priority >= HIGH or spec.kind == SERVICE:
+        if spec.kind == SERVICE or spec.priority >= PRODUCTION:
             return True
         allowance = self._waits.get(spec.cls)
         if spec.deadline_s is not None:
@@ -187,7 +198,8 @@
             allowance = 10 * self._lease_s
         if eta_s > _PRESSING_ANY * allowance:
             return True
-        return False if spec.spot and eta_s > _PRESSING_SPOT * allowance else None
+        early = spec.priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
+        return False if spec.spot and early else None
 
     def _spares(self, bins: list[_Bin]) -> list[JobSpec]:
         """Room to keep ready for classes that must start before a machine could boot."""
@@ -284,8 +296,46 @@
             if sight is not None and sight.seen.errors >= SICK_ERRORS:
                 chosen.append(machine)
         self._idle_since = {m: t for m, t in self._idle_since.items() if m in picture.machines()}
+        chosen += self._wasteful()
         return [m for m in dict.fromkeys(chosen) if self._state(m) not in ("draining", "gone")]
 
+    def _wasteful(self) -> list[str]:
+        """A large machine that little work holds, and that smaller ones could hold for less."""
+        picture = self.picture
+        if self._pressed or any(m.state == "draining" for m in picture.mirror.fleet.values()):
+            self._wasteful_since.clear()
+            return []
+        worst: tuple[float, str] | None = None
+        seen = set()
+        for machine, room in picture.usable_rooms().items():
+            kind = picture.mirror.types[room.type]
+            services = [
+                job.spec
+                for job, _, _ in picture.mirror.attempts_on(machine)
+                if job.spec.kind == SERVICE
+            ]
+            if not services or kind.cpus - room.cpus > _WASTEFUL_USE * kind.cpus:
+                continue
+            price = kind.spot_price if room.spot else kind.price
+            cost = sum(self._lowest_price(spec) for spec in services)
+            if price < _WASTEFUL_PRICE * cost:
+                continue
+            seen.add(machine)
+            since = self._wasteful_since.setdefault(machine, picture.now)
+            if picture.now - since >= kind.boot_s and (worst is None or price - cost > worst[0]):
+                worst = price - cost, machine
+        self._wasteful_since = {m: t for m, t in self._wasteful_since.items() if m in seen}
+        return [worst[1]] if worst else []
+
+    def _lowest_price(self, spec: JobSpec) -> float:
+        """What a task costs an hour on the ordinary machine that suits it best."""
+        prices = []
+        for kind in self.picture.mirror.types.values():
+            if kind.fits(spec) and kind.price > 0:
+                memory = kind.memory_gb / spec.memory_gb if spec.memory_gb else kind.cpus
+                prices.append(kind.price / max(1, int(min(kind.cpus / spec.cpus, memory))))
+        return min(prices, default=0.0)
+
     def silent(self, wall: float) -> list[str]:
         """Machines that came up and went silent: returning them proves what was on them gone.
 
