--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -12,14 +12,13 @@
 from sandladder.model import RENTER, ListedMachine, Machine, MachineType
 from sandladder.provision import Provisioner, Wish
 from sandladder.settings import split_addr
-from sandladder.store import Change, NoLease, Renewal, Unavailable
+from sandladder.store import P_WORK, Change, NoLease, Renewal, Unavailable
 
 if TYPE_CHECKING:
     from sandladder.control import Controller
 
 log = logging.getLogger(__name__)
 
-_P_FLEET = 2
 FleetChange = Callable[[dict[str, Machine]], set[str]]
 
 
@@ -121,7 +120,7 @@
             put_types(view, types)
             return True
 
-        await self._c.committer.add(Change("machine types", _P_FLEET, 1, apply)).wait()
+        await self._c.committer.add(Change("machine types", P_WORK, 1, apply)).wait()
 
     async def _hold(self) -> bool:
         """Whether the duty is surely ours; takes it when it is free."""
@@ -146,7 +145,7 @@
             view.put(RENTER, self._c.node, view.mirror.version(RENTER), lease)
             return True
 
-        await self._c.committer.add(Change("renter", _P_FLEET, 1, apply, leased=True)).wait()
+        await self._c.committer.add(Change("renter", P_WORK, 1, apply, leased=True)).wait()
         self._held = Renewal(lease, now + 0.95 * self._ttl_s)
         self._listed.clear()
         log.info("this controller rents now")
@@ -196,7 +195,7 @@
 
     async def _change(self, change: FleetChange) -> None:
         await self._c.committer.add(
-            Change("fleet", _P_FLEET, 2, lambda view: change_fleet(view, change))
+            Change("fleet", P_WORK, 2, lambda view: change_fleet(view, change))
         ).wait()
 
     async def _compare(self, listed: list[ListedMachine], now: float, wall: float) -> None:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -46,6 +46,9 @@
 from sandladder.premises import Gate, Intent, Outcome, Resource
 from sandladder.settings import Settings, TeamLimits, split_addr
 from sandladder.store import (
+    P_HOLD,
+    P_USER,
+    P_WORK,
     Change,
     Committer,
     NoLease,
@@ -58,9 +61,6 @@
 
 log = logging.getLogger(__name__)
 
-# Priorities of changes: lower goes first.
-_P_HOLD, _P_USER, _P_WORK = 0, 1, 2
-
 
 _BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
 
@@ -236,7 +236,7 @@
             put_summary(view, self.node, self._summary(taken), lease)
             return True
 
-        change = self.committer.add(Change("term", _P_HOLD, 2, apply, leased=True))
+        change = self.committer.add(Change("term", P_HOLD, 2, apply, leased=True))
         await change.wait()
         self.delivery.new_term(taken)
 
@@ -295,7 +295,7 @@
             try:
                 await self.committer.add(
                     # Others place on our machines by what it says: it must not starve.
-                    Change("summary", _P_USER, 1, apply, leased=True)
+                    Change("summary", P_USER, 1, apply, leased=True)
                 ).wait()
             except NoLease:
                 self._renewal, self._present = None, False
@@ -485,7 +485,7 @@
         waiting[key] = item
         if first:
             change = Change(
-                f"ends of {item.job}", _P_WORK, 3, lambda view: self._apply_ends(view, item.job)
+                f"ends of {item.job}", P_WORK, 3, lambda view: self._apply_ends(view, item.job)
             )
             self.committer.add(change)
             if self._tasks is not None:
@@ -633,7 +633,7 @@
         def apply(view: View) -> bool:
             return stop(view, victim.job, [victim.task], victim.grace_s)
 
-        change = self.committer.add(Change(f"stop in {victim.job}", _P_WORK, 1, apply))
+        change = self.committer.add(Change(f"stop in {victim.job}", P_WORK, 1, apply))
         assert self._tasks is not None
         self._tasks.start_soon(self._after_stop, change, victim.machine)
 
@@ -650,7 +650,7 @@
         def apply(view: View) -> bool:
             return self._apply_starts(view, job_id, intents)
 
-        change = self.committer.add(Change(f"starts of {job_id}", _P_WORK, 2, apply))
+        change = self.committer.add(Change(f"starts of {job_id}", P_WORK, 2, apply))
         assert self._tasks is not None
         self._tasks.start_soon(self._after_starts, change, intents)
 
@@ -900,7 +900,7 @@
         now = self.wall()
         change = Change(
             f"submission of {job_id}",
-            _P_USER,
+            P_USER,
             1,
             lambda view: self._apply_submit(view, spec, now),
             final=FINAL + job_id,
@@ -938,7 +938,7 @@
                 clerks.add(sight.clerk)
         try:
             with anyio.fail_after(self.report_s):
-                await self.committer.add(Change(f"cancel {job_id}", _P_USER, 2, apply)).wait()
+                await self.committer.add(Change(f"cancel {job_id}", P_USER, 2, apply)).wait()
         except Refused:
             found = await self._lookup(job_id)
             if found is None or found.state not in (DONE, CANCELLED):
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -16,6 +16,10 @@
 log = logging.getLogger(__name__)
 
 
+# Priorities of changes: lower goes first.
+P_HOLD, P_USER, P_WORK = 0, 1, 2
+
+
 class Unavailable(Exception):
     """The state service did not carry the request out, or gave no answer to a reading."""
 
@@ -58,11 +62,11 @@
     """Our share of a rate limit that all controllers use.
 
     It starts at nearly the whole, which is ours while the others need little.  Refusals
-    shrink it to half an equal share at least, successes let it grow again.
+    shrink it to an equal share at least, successes let it grow again.
     """
 
     def __init__(self, whole: float, nodes: int) -> None:
-        self._least = 0.5 * whole / nodes
+        self._least = whole / nodes
         self._most = 0.9 * whole
         self._burst = 0.7 * whole
         self.rate = self._most
@@ -370,12 +374,14 @@
         if not self._queue:
             return
         self._queue.sort(key=lambda c: c.priority)
-        # What has least priority waits while the budget is short for what comes first.
+        # While our budget is short, work waits.  What a user or the hold waits for goes
+        # alone and at once: should the service refuse it, it is soon tried again.
         delay = self._state.writes.delay(self._queue[0].cost)
-        if delay > 0:
-            await anyio.sleep(delay)
+        urgent = self._queue[0].priority < P_WORK
+        if delay > 0 and not urgent:
+            await self._work.wait(delay)
             return
-        view, chosen = self._gather()
+        view, chosen = self._gather(P_USER if delay > 0 else P_WORK)
         if not chosen:
             return
         changes = view.changes()
@@ -389,11 +395,14 @@
             return
         await self._send(body, changes, chosen)
 
-    def _gather(self) -> tuple[View, list[Change]]:
+    def _gather(self, last: int) -> tuple[View, list[Change]]:
+        """Evaluate changes of a priority up to `last` while they fit one transaction."""
         most = max(4, int(self._state.limits.txn_ops * self._share))
         view = View(self._mirror)
         chosen: list[Change] = []
         for change in list(self._queue):
+            if change.priority > last:
+                break
             if chosen and (
                 view.size + change.cost > most
                 or len(view.guards) + 2 * change.cost > 4 * self._state.limits.txn_ops
