--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -3,6 +3,7 @@
 One controller at a time is the renter; it decides on the whole fleet once a second or so.
 """
 
+import math
 from collections import Counter
 from typing import NamedTuple
 
@@ -21,7 +22,7 @@
 from sandladder.settings import TeamLimits
 
 # Shares of the time that work may wait, past which spot or any machines are rented for it.
-_PRESSING_SPOT, _PRESSING_ANY = 0.1, 0.5
+_PRESSING_SPOT, _PRESSING_SOON, _PRESSING_ANY = 0.1, 0.4, 0.75
 _MOST_LACKING = 256
 # A machine is given up when less than this share of it is used, and what uses it would cost
 # so many times less elsewhere.
@@ -122,7 +123,13 @@
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
                 eta_s = wall - job.submitted + backlog / max(self._capacity, spec.cpus)
-                any_kind = self._pressing(spec, eta_s)
+                allowance = self._allowance_s(spec)
+                any_kind = self._pressing(spec, eta_s, allowance)
+                if any_kind and spec.priority < HIGH and spec.kind != SERVICE:
+                    # Rent ordinary machines for as much as brings it back within its time.
+                    left_s = max(_PRESSING_ANY * allowance - wall + job.submitted, allowance / 10)
+                    more = math.ceil((backlog / left_s - self._capacity) / spec.cpus)
+                    missing = min(missing, max(1, more))
                 if any_kind is not None:
                     lacking += [_Lack(spec, any_kind)] * min(missing, _MOST_LACKING)
         self._pressed = bool(lacking)
@@ -182,7 +189,14 @@
                 break
         return placed
 
-    def _pressing(self, spec: JobSpec, eta_s: float) -> bool | None:
+    def _allowance_s(self, spec: JobSpec) -> float:
+        """How late the last task of a job may start, from its submission."""
+        allowance = self._waits.get(spec.cls, math.inf)
+        if spec.deadline_s is not None:
+            allowance = min(allowance, max(0.0, spec.deadline_s - 1.3 * spec.estimate_s))
+        return allowance if allowance < math.inf else 10 * self._lease_s
+
+    def _pressing(self, spec: JobSpec, eta_s: float, allowance: float) -> bool | None:
         """Whether to rent for work that would start so late: None no, False spot only.
 
         Machines already there come free in time for work that can wait; the cheaper kind is
@@ -190,13 +204,11 @@
         """
         if spec.kind == SERVICE or spec.priority >= PRODUCTION:
             return True
-        allowance = self._waits.get(spec.cls)
-        if spec.deadline_s is not None:
-            slack = max(0.0, spec.deadline_s - 1.3 * spec.estimate_s)
-            allowance = slack if allowance is None else min(allowance, slack)
-        if allowance is None:
-            allowance = 10 * self._lease_s
-        if eta_s > _PRESSING_ANY * allowance:
+        boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
+        # As late as two boots before most of the time is over; but work with little time
+        # to spare cannot wait for that.
+        latest = _PRESSING_ANY * allowance - 2 * min(boots, default=0.0)
+        if eta_s > max(_PRESSING_SOON * allowance, latest):
             return True
         early = spec.priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
         return False if spec.spot and early else None
@@ -210,10 +222,8 @@
                 continue
             spec = recent[-1]
             sizes = sorted(s.tasks for s in recent)
-            count = sizes[len(sizes) // 2]
+            count = sizes[len(sizes) * 3 // 4]  # larger than most
             ratio = self.picture.settings.operator.spare_jobs
-            if spec.priority < PRODUCTION:
-                ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
             lacking += [spec] * (count - self._fill(spec, count, bins))
         return lacking
