--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -313,13 +313,6 @@
     machines: dict[str, Seen] = {}
 
 
-class Stored(NamedTuple):
-    """A record with its version."""
-
-    value: Any
-    version: int
-
-
 class Mirror:
     """A controller's copy of the records, kept up by the watch and by its own commits."""
 
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -138,7 +138,8 @@
                 for job, _, _ in picture.mirror.attempts_on(machine):
                     if job.spec.kind == SERVICE and not self._fill(job.spec, 1, bins):
                         lacking.append(_Lack(job.spec, True))
-        lacking += [_Lack(spec, True) for spec in self._spares(bins)]
+        # Room kept for what may come is not worth the dearer kind where the other will do.
+        lacking += [_Lack(spec, not spec.spot) for spec in self._spares(bins)]
         return self._rent(lacking)
 
     def _bins(self, wall: float) -> list[_Bin]:
