--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -12,7 +12,7 @@
 from sandladder.model import RENTER, ListedMachine, Machine, MachineType
 from sandladder.provision import Provisioner, Wish
 from sandladder.settings import split_addr
-from sandladder.store import P_WORK, Change, NoLease, Renewal, Unavailable
+from sandladder.store import P_USER, P_WORK, Change, NoLease, Renewal, Unavailable
 
 if TYPE_CHECKING:
     from sandladder.control import Controller
@@ -195,7 +195,8 @@
 
     async def _change(self, change: FleetChange) -> None:
         await self._c.committer.add(
-            Change("fleet", P_WORK, 2, lambda view: change_fleet(view, change))
+            # Few and short; the room for others' work and proofs of loss wait for them.
+            Change("fleet", P_USER, 2, lambda view: change_fleet(view, change))
         ).wait()
 
     async def _compare(self, listed: list[ListedMachine], now: float, wall: float) -> None:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -57,6 +57,7 @@
     StateClient,
     Unavailable,
     Watch,
+    work_priority,
 )
 
 log = logging.getLogger(__name__)
@@ -144,6 +145,7 @@
                 self._keep_summary,
                 self._plan,
                 self._sweep,
+                self._tell,
                 self.renter.run,
             ):
                 tasks.start_soon(self._duty, duty)
@@ -484,8 +486,10 @@
         first = not waiting
         waiting[key] = item
         if first:
+            job = self.mirror.jobs.get(item.job)
+            priority = work_priority(job.spec) if job else P_WORK
             change = Change(
-                f"ends of {item.job}", P_WORK, 3, lambda view: self._apply_ends(view, item.job)
+                f"ends of {item.job}", priority, 3, lambda view: self._apply_ends(view, item.job)
             )
             self.committer.add(change)
             if self._tasks is not None:
@@ -547,6 +551,22 @@
             self._barred = {j: t for j, t in self._barred.items() if t > now}
             self._plan_due.set()
 
+    async def _tell(self) -> None:
+        """Log now and then how much was checked, committed and rejected."""
+        while True:
+            await anyio.sleep(5 * self.lease_s)
+            gate = self.gate
+            log.info(
+                "gate: %d premises checked (a full scan: %d), verdicts %s; "
+                "%d transactions committed, %d rejected, %d changes waiting",
+                gate.checked,
+                gate.full_scan,
+                dict(gate.verdicts),
+                self.committer.committed,
+                self.committer.rejected,
+                self.committer.queued,
+            )
+
     def _losses(self, now: float) -> list[Ended]:
         """Attempts on machines that are gone, or whose lease has surely run out."""
         found = []
@@ -650,7 +670,9 @@
         def apply(view: View) -> bool:
             return self._apply_starts(view, job_id, intents)
 
-        change = self.committer.add(Change(f"starts of {job_id}", P_WORK, 2, apply))
+        change = self.committer.add(
+            Change(f"starts of {job_id}", work_priority(intents[0].spec), 2, apply)
+        )
         assert self._tasks is not None
         self._tasks.start_soon(self._after_starts, change, intents)
 
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -223,8 +223,14 @@
                 continue
             spec = recent[-1]
             sizes = sorted(s.tasks for s in recent)
-            count = sizes[len(sizes) * 3 // 4]  # larger than most
             ratio = self.picture.settings.operator.spare_jobs
+            boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
+            if within < min(boots, default=0.0):
+                count = sizes[len(sizes) * 3 // 4]  # larger than most
+            else:
+                # A machine may boot in time; this is for the days on which it does not.
+                count = sizes[len(sizes) // 2]
+                ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
             lacking += [spec] * (count - self._fill(spec, count, bins))
         return lacking
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -1,6 +1,7 @@
 """The state service: its client, one budget for its rate limits, the watch and the commits."""
 
 import logging
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -10,7 +11,7 @@
 from sandladder import wire
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View
-from sandladder.model import PREFIXES, ROOT, Mirror
+from sandladder.model import PREFIXES, PRODUCTION, ROOT, JobSpec, Mirror
 from sandladder.settings import State
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,11 @@
 P_HOLD, P_USER, P_WORK = 0, 1, 2
 
 
+def work_priority(spec: JobSpec) -> float:
+    """Among work, more urgent jobs' changes go first."""
+    return P_WORK + (PRODUCTION - spec.priority) / 10
+
+
 class Unavailable(Exception):
     """The state service did not carry the request out, or gave no answer to a reading."""
 
@@ -288,7 +294,7 @@
     def __init__(
         self,
         name: str,
-        priority: int,
+        priority: float,
         cost: int,
         apply: Callable[[View], bool],
         *,
@@ -381,7 +387,7 @@
         if delay > 0 and not urgent:
             await self._work.wait(delay)
             return
-        view, chosen = self._gather(P_USER if delay > 0 else P_WORK)
+        view, chosen = self._gather(P_USER if delay > 0 else math.inf)
         if not chosen:
             return
         changes = view.changes()
@@ -395,7 +401,7 @@
             return
         await self._send(body, changes, chosen)
 
-    def _gather(self, last: int) -> tuple[View, list[Change]]:
+    def _gather(self, last: float) -> tuple[View, list[Change]]:
         """Evaluate changes of a priority up to `last` while they fit one transaction."""
         most = max(4, int(self._state.limits.txn_ops * self._share))
         view = View(self._mirror)
