--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -159,10 +159,19 @@
         await self._drain(wall)
         await self._return(wall)
         self._c.picture.now = anyio.current_time()
-        for wish in self._provision.wishes(self._c.wall()):
-            await self._rent(wish)
+        # Asked for all at once: what else this duty sees to should not wait for refusals.
+        async with anyio.create_task_group() as tasks:
+            for wish in self._provision.wishes(self._c.wall()):
+                tasks.start_soon(self._rent, wish)
 
     async def _rent(self, wish: Wish) -> None:
+        try:
+            await self._hire(wish)
+        except (CloudError, Refused, wire.Malformed) as error:
+            # Whatever came of it will show in the list.
+            log.info("renting %s: %s", wish, error)
+
+    async def _hire(self, wish: Wish) -> None:
         self._hires += 1
         name = f"{self._c.node}-{self._c.delivery.term}-{self._hires}"
         log.info("renting %s", wish)
--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -52,6 +52,7 @@
         self.teams: dict[str, Team] = {}
         self.finals: dict[str, Final] = {}
         self.others: dict[str, tuple[Any, int | None]] = {}
+        self.fleet: dict[str, Machine] | None = None
         self.guards: dict[str, int] = {}
 
     def job(self, job_id: str) -> Job | None:
@@ -261,10 +262,12 @@
 
 def change_fleet(view: View, change: Callable[[dict[str, Machine]], set[str]]) -> bool:
     """Let the renter change the fleet record; binds that it still is the renter."""
-    fleet = dict(view.mirror.fleet)
+    # Several changes may share a transaction: each goes on from what the last one left.
+    fleet = dict(view.mirror.fleet if view.fleet is None else view.fleet)
     touched = change(fleet)
     if not touched:
         return False
+    view.fleet = fleet
     view.guards[RENTER] = view.mirror.version(RENTER)
     for chunk in {fleet_chunk(machine) for machine in touched}:
         members = {m: list(r) for m, r in sorted(fleet.items()) if fleet_chunk(m) == chunk}
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -127,7 +127,7 @@
     # jobs of each such class.
     spare_jobs: float = 1.0
     # Silence after which an unreachable machine is returned, in worker leases.
-    silent_leases: float = 0.45
+    silent_leases: float = 0.35
 
 
 class Settings(msgspec.Struct, frozen=True):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -16,6 +16,7 @@
     Refused,
     View,
     cancel,
+    change_fleet,
     end,
     start,
     submit,
@@ -26,6 +27,7 @@
     Attempt,
     Entry,
     Job,
+    Machine,
     MachineType,
     Mirror,
     Ranges,
@@ -118,6 +120,23 @@
     assert not mirror.jobs and mirror.teams["red"][0] == 0
 
 
+def test_changes_of_the_fleet_in_one_transaction_keep_each_other() -> None:
+    """Two rentals answered together: the second must not wipe out the first."""
+    mirror = Mirror()
+    view = View(mirror)
+
+    def add(name: str):
+        def change(fleet: dict[str, Machine]) -> set[str]:
+            fleet[name] = Machine("small", "north", False, "rented", 0.0)
+            return {name}
+
+        return change
+
+    assert change_fleet(view, add("vm-000001")) and change_fleet(view, add("vm-000002"))
+    commit(mirror, view)
+    assert set(mirror.fleet) == {"vm-000001", "vm-000002"}
+
+
 def test_older_news_never_undoes_a_commit_of_ours() -> None:
     mirror = Mirror()
     value = Job(spec(), 0.0).record()
