Take back: urgent arrays stop normal work while the write budget is ample

Cause looked at: yaraltai's last tasks wait for running normal work. Ruled out that the write budget alone spoils it.

--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -30,10 +30,8 @@
     CANCELLED,
     DONE,
     FINAL,
-    HIGH,
     JOB,
     NODE,
-    PRODUCTION,
     TERM,
     Attempt,
     Final,
@@ -644,10 +642,7 @@
             for job_id, intents in batches.items():
                 self._commit_starts(job_id, intents)
             owned = self._owned()
-            # A stop takes several changes, so urgent arrays stop others only while few wait.
-            calm = self.committer.queued <= 2 and self.state.writes.ample
-            victims = self.planner.preempt(owned, self._barred, HIGH if calm else PRODUCTION)
-            for victim in victims + self.planner.moves(owned):
+            for victim in self.planner.preempt(owned, self._barred) + self.planner.moves(owned):
                 self._commit_stop(victim)
             await anyio.sleep(self.report_s / 100)
 
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -17,6 +17,7 @@
     GANG,
     HIGH,
     JOB,
+    PRODUCTION,
     SERVICE,
     TEAM,
     Job,
@@ -394,8 +395,8 @@
         )
         return found
 
-    def preempt(self, owned: Iterable[Job], barred: dict[str, float], least: int) -> list[Victim]:
-        """Running tasks to stop for work that must start at once, of priority `least` or more."""
+    def preempt(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Victim]:
+        """Running tasks of lower priority to stop for work that must start at once."""
         picture = self.picture
         report_s = picture.settings.platform.deployment.workers.report_s
         self._claims = {k: until for k, until in self._claims.items() if until > picture.now}
@@ -408,7 +409,7 @@
             spec = job.spec
             within = self.waits.get(spec.cls)
             # Where a machine boots in time for the aim, nothing is stopped.
-            urgent = spec.priority >= least and within is not None and within < boot_s
+            urgent = spec.priority >= PRODUCTION and within is not None and within < boot_s
             if not urgent or within is None or spec.kind == GANG or not job.waiting:
                 continue
             if barred.get(job.id, 0.0) > picture.now:
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -91,11 +91,6 @@
         # Timers do not resolve less than a millisecond or so: a shorter wait is none.
         return 0.0 if short <= 0 else max(0.001, short / self.rate)
 
-    @property
-    def ample(self) -> bool:
-        """Whether the others leave us much of the whole."""
-        return self.rate >= 0.75 * self._most
-
     def spend(self, amount: float) -> None:
         self._refill()
         self._tokens -= amount
