--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -1,17 +1,17 @@
 """The cloud: its client, and the duty of the one controller that rents and returns."""
 
 import logging
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
 
 from sandladder import wire
-from sandladder.http import Client, HttpError, Response
+from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View, change_fleet, put_types
 from sandladder.model import RENTER, ListedMachine, Machine, MachineType
 from sandladder.provision import Provisioner, Wish
+from sandladder.settings import split_addr
 from sandladder.store import Change, NoLease, Renewal, Unavailable
 
 if TYPE_CHECKING:
@@ -34,8 +34,8 @@
 class CloudClient:
     """Requests to the cloud."""
 
-    def __init__(self, host: str, port: int, timeout: float) -> None:
-        self._client = Client(host, port, keep=2)
+    def __init__(self, client: Requester, timeout: float) -> None:
+        self._client = client
         self._timeout = timeout
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
@@ -152,14 +152,14 @@
         return True
 
     async def _act(self) -> None:
-        now, wall = anyio.current_time(), time.time()
+        now, wall = anyio.current_time(), self._c.wall()
         if now >= self._next_list:
             self._next_list = now + self._lag_s / 3
             await self._compare(await self._c.cloud.machines(), now, wall)
         await self._drain(wall)
         await self._return(wall)
         self._c.picture.now = anyio.current_time()
-        for wish in self._provision.wishes(time.time()):
+        for wish in self._provision.wishes(self._c.wall()):
             await self._rent(wish)
 
     async def _rent(self, wish: Wish) -> None:
@@ -181,7 +181,7 @@
         if len(machines) < wish.number:
             self._provision.refused(wish)
         if machines:
-            record = Machine(wish.type, wish.zone, wish.spot, "rented", time.time())
+            record = Machine(wish.type, wish.zone, wish.spot, "rented", self._c.wall())
             await self._set(dict.fromkeys(machines, record))
 
     async def _set(self, records: dict[str, Machine]) -> None:
@@ -272,8 +272,7 @@
         dialogue = self._c.delivery.machines.get(machine)
         if dialogue is None:
             return True
-        host, _, port = dialogue.report.addr.rpartition(":")
-        client = Client(host, int(port), keep=0)
+        client = self._c.connect(*split_addr(dialogue.report.addr), keep=0)
         try:
             await client.request("GET", "/status", timeout=self._c.report_s / 2)
         except HttpError:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -11,7 +11,7 @@
 from sandladder import mesh, wire
 from sandladder.cloud import CloudClient, Renter
 from sandladder.delivery import Delivery, Dialogue
-from sandladder.http import Client, HttpError, Request, Response, Server
+from sandladder.http import Client, Connect, HttpError, Request, Requester, Response, Server
 from sandladder.lifecycle import (
     Ended,
     LossProof,
@@ -64,12 +64,20 @@
 class Controller:
     """One controller node."""
 
-    def __init__(self, settings: Settings, rng: Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        rng: Random,
+        connect: Connect = Client,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         deployment = settings.platform.deployment
         self.settings = settings
         self.node = settings.node
         self.nodes = settings.node_names
         self.rng = rng
+        self.connect = connect
+        self.wall = wall  # the time of day
         workers = deployment.workers
         self.report_s, self.lease_s = workers.report_s, workers.lease_s
         self.hold_s = settings.operator.hold_leases * self.lease_s
@@ -85,12 +93,12 @@
         self.planner = Planner(self.picture, rng)
         host, port = split_addr(settings.platform.external.state)
         self.state = StateClient(
-            host, port, deployment.state, len(self.nodes), self.state_timeout_s
+            connect(host, port, keep=6), deployment.state, len(self.nodes), self.state_timeout_s
         )
         self.watch = Watch(self.state, self.mirror, len(self.nodes), self._changed, self._synced)
         self.committer = Committer(self.state, self.mirror, self.watch, rng, self._changed)
         host, port = split_addr(settings.platform.external.cloud)
-        self.cloud = CloudClient(host, port, timeout=self.lease_s / 3)
+        self.cloud = CloudClient(connect(host, port, keep=2), timeout=self.lease_s / 3)
         self.renter = Renter(self)
         self.links = {
             peer.node_name: mesh.Link(peer, self.beat_s) for peer in settings.platform.peers
@@ -105,35 +113,16 @@
         self._barred: dict[str, float] = {}
         self._ends: dict[str, dict[tuple[int, int], Ended]] = {}
         self._ending: dict[tuple[str, int, int], float] = {}
-        self._clients: dict[str, tuple[str, Client]] = {}
+        self._clients: dict[str, tuple[str, Requester]] = {}
         self._tasks: TaskGroup | None = None
 
     # Life
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        platform = self.settings.platform
-        quota = platform.deployment.quota
-        host, port = split_addr(platform.api_addr)
-        server = Server(
-            self.handle,
-            body_limit=wire.BODY_LIMIT,
-            idle_s=20 * self.lease_s,
-            read_s=self.report_s,
-            most=int(quota.max_sockets * 0.8),
-        )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(server.serve, host, port)
-            tasks.start_soon(
-                mesh.serve,
-                platform.mesh_addr,
-                8 * len(self.nodes),
-                20 * self.beat_s,
-                self._hear_peer,
-            )
-            for link in self.links.values():
-                tasks.start_soon(link.run, self._beat)
+            self._listen(tasks)
             for duty in (
                 self.watch.run,
                 self.committer.run,
@@ -145,6 +134,28 @@
             ):
                 tasks.start_soon(self._duty, duty)
 
+    def _listen(self, tasks: TaskGroup) -> None:
+        """Start serving users, workers and peers."""
+        platform = self.settings.platform
+        host, port = split_addr(platform.api_addr)
+        server = Server(
+            self.handle,
+            body_limit=wire.BODY_LIMIT,
+            idle_s=20 * self.lease_s,
+            read_s=self.report_s,
+            most=int(platform.deployment.quota.max_sockets * 0.8),
+        )
+        tasks.start_soon(server.serve, host, port)
+        tasks.start_soon(
+            mesh.serve,
+            platform.mesh_addr,
+            8 * len(self.nodes),
+            20 * self.beat_s,
+            self._hear_peer,
+        )
+        for link in self.links.values():
+            tasks.start_soon(link.run, self._beat)
+
     async def _duty(self, duty: Callable[[], Awaitable[None]]) -> None:
         """Run a duty; one that fails unexpectedly is logged and started again alone."""
         while True:
@@ -416,11 +427,11 @@
         # What was just told and is under way needs no repeating before the next report.
         return any((c.job, c.task, c.attempt) not in told | sent and c.op != "forget" for c in left)
 
-    def _client(self, machine: str, addr: str) -> Client:
+    def _client(self, machine: str, addr: str) -> Requester:
         known = self._clients.get(machine)
         if known is None or known[0] != addr:
             host, port = split_addr(addr)
-            known = self._clients[machine] = addr, Client(host, port, keep=1)
+            known = self._clients[machine] = addr, self.connect(host, port, keep=1)
         return known[1]
 
     # Ends
@@ -758,7 +769,7 @@
             return Response(status, wire.error_body(problem))
         if self.committer.full or not self._state_ok():
             return Response(503, wire.error_body("busy"), 1)
-        now = time.time()
+        now = self.wall()
         change = Change(
             f"submission of {job_id}",
             _P_USER,
--- a/src/sandladder/http.py
+++ b/src/sandladder/http.py
@@ -2,11 +2,11 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 log = logging.getLogger(__name__)
 
@@ -162,6 +162,22 @@
     return b"".join(part for part in parts if part)
 
 
+class Requester(Protocol):
+    """What the rest of the program needs of a client."""
+
+    async def request(
+        self, method: str, target: str, body: bytes = b"", *, timeout: float
+    ) -> Response: ...
+
+    async def aclose(self) -> None: ...
+
+
+class Connect(Protocol):
+    """Makes a client for an address; tests put their own network here."""
+
+    def __call__(self, host: str, port: int, *, keep: int) -> Requester: ...
+
+
 class Client:
     """Talks to one address over a few kept connections."""
 
@@ -265,6 +281,3 @@
         if name == b"retry-after" and value.isdigit():
             return int(value)
     return None
-
-
-__all__ = ["Client", "HttpError", "Request", "Response", "Server", "SocketAttribute"]
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -8,7 +8,7 @@
 import anyio
 
 from sandladder import wire
-from sandladder.http import Client, HttpError, Response
+from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View
 from sandladder.model import PREFIXES, ROOT, Mirror
 from sandladder.settings import State
@@ -93,8 +93,8 @@
 class StateClient:
     """Requests to the state service."""
 
-    def __init__(self, host: str, port: int, limits: State, nodes: int, timeout: float) -> None:
-        self._client = Client(host, port, keep=6)
+    def __init__(self, client: Requester, limits: State, nodes: int, timeout: float) -> None:
+        self._client = client
         self._timeout = timeout
         self.limits = limits
         self.writes = Budget(limits.write_rps, nodes)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,219 @@
+"""Seeded random days in the stand-in world; the rules are checked after every step."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from world import World, job, run
+
+Trouble = Callable[[World], Awaitable[None]]
+
+
+async def warm(world: World) -> None:
+    """Wait until the controllers take requests."""
+    for _ in range(60):
+        answers = [await world.ask("GET", "/healthz", node=i) for i in range(world.count)]
+        if all(a.status == 200 for a in answers):
+            return
+        await anyio.sleep(0.5)
+    raise AssertionError("the controllers never became healthy")
+
+
+def mixed(world: World, number: int) -> dict[str, object]:
+    """A job of a random kind."""
+    rng = world.rng
+    fields = rng.choice(
+        [
+            {"entries": rng.randint(1, 6), "image_gb": 1.0},
+            {"entries": rng.randint(1, 4), "rank": "urgent", "bureau": "blue", "loaners": False},
+            {"entries": 3, "form": "group", "same_place": rng.random() < 0.5},
+            {"entries": 2, "form": "group", "bookmark_s": 2.0, "stamp_s": 0.5, "expect_s": 8.0},
+            {"entries": 3, "apart": True, "district": None},
+            {"entries": 2, "breeds": ["large"], "gpus": 1.0, "district": "south"},
+        ]
+    )
+    return job(number, parcel=f"img-{rng.randrange(3)}", **fields)
+
+
+async def day(world: World, trouble: Trouble, jobs: int = 12) -> None:
+    """Jobs arrive during a trouble; afterwards all of them must complete."""
+    await warm(world)
+    ids = [f"job-{n:06d}" for n in range(jobs)]
+    service = job(900, form="service", entries=2, rank="prod", docket="web", loaners=False)
+
+    async def users() -> None:
+        await world.submit(service)
+        for number in range(jobs):
+            world.network.tasks.start_soon(world.submit, mixed(world, number))
+            await anyio.sleep(world.rng.uniform(0.5, 3.0))
+            await world.poll(world.rng.choice(ids[: number + 1]))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(users)
+        tasks.start_soon(trouble, world)
+    world.network.heal()
+    late = await world.until_done(ids, 240.0)
+    assert not late, [(i, world.specs[i], await world.poll(i)) for i in late]
+    assert (await world.poll(service["id"]) or {}).get("running") == 2
+    assert await world.cancel(service["id"]) == "cancelled"
+    await anyio.sleep(45.0)
+    world.check()
+    assert sum(world.starts.values()) >= jobs
+    assert await world.poll("job-777777") is None
+
+
+async def quiet(world: World) -> None:
+    await anyio.sleep(1.0)
+
+
+async def crashes(world: World) -> None:
+    for _ in range(5):
+        await anyio.sleep(world.rng.uniform(2.0, 8.0))
+        for index in world.rng.sample(range(world.count), world.rng.randint(1, world.count)):
+            world.crash(index)
+            await anyio.sleep(world.rng.uniform(0.0, 1.0))
+        await anyio.sleep(3.0)
+        for index in range(world.count):
+            if f"node-{index}" not in world.nodes:
+                world.boot(index)
+
+
+async def outage(world: World) -> None:
+    await anyio.sleep(6.0)
+    world.store.outage(True)
+    await anyio.sleep(world.rng.choice([8.0, 40.0]))
+    world.store.outage(False)
+    await anyio.sleep(5.0)
+    world.store.refuses = {"node-1"}
+    await anyio.sleep(30.0)
+    world.store.refuses = set()
+
+
+async def cuts(world: World) -> None:
+    hosts = ["state", "cloud", "node-0", "node-1", "node-2"]
+    for _ in range(8):
+        await anyio.sleep(world.rng.uniform(1.0, 4.0))
+        machines = [w.name for w in world.cloud.workers.values() if w.gone_at is None]
+        one = world.rng.choice(hosts[2:])
+        for other in world.rng.sample(hosts + machines, 3):
+            if other != one:
+                world.network.cut(one, other, world.rng.choice(["drop", "hold"]))
+        if world.rng.random() < 0.4:
+            await anyio.sleep(world.rng.uniform(5.0, 30.0))
+            world.network.heal()
+
+
+async def machines(world: World) -> None:
+    for _ in range(8):
+        await anyio.sleep(world.rng.uniform(2.0, 6.0))
+        up = [w for w in world.cloud.workers.values() if w.state == "running"]
+        if not up:
+            continue
+        worker = world.rng.choice(up)
+        what = world.rng.randrange(4)
+        if what == 0:
+            worker.vanish(True)
+        elif what == 1:
+            worker.hung_until = anyio.current_time() + world.rng.uniform(3.0, 25.0)
+        elif what == 2:
+            worker.sick = True
+        else:
+            worker.notice_until = anyio.current_time() + 5.0
+            await anyio.sleep(5.0)
+            worker.vanish(False)
+
+
+async def everything(world: World) -> None:
+    async with anyio.create_task_group() as tasks:
+        for trouble in (crashes, cuts, machines):
+            tasks.start_soon(trouble, world)
+
+
+TROUBLES = [quiet, crashes, outage, cuts, machines, everything]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda t: t.__name__)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_rules_hold_and_all_work_completes(trouble: Trouble, seed: int) -> None:
+    world = World(seed * 100 + TROUBLES.index(trouble))
+    run(world, lambda: day(world, trouble))
+    assert world.broken == []
+    assert world.store.largest < 8 * 1024
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_a_cancelled_job_is_gone_soon(seed: int) -> None:
+    world = World(seed)
+
+    async def main() -> None:
+        await warm(world)
+        ids = []
+        for number in range(6):
+            spec = job(number, entries=4, expect_s=200.0)
+            await world.submit(spec)
+            ids.append(spec["id"])
+        await anyio.sleep(world.rng.uniform(0.0, 20.0))
+        for job_id in ids:
+            if world.rng.random() < 0.5:
+                world.crash(world.rng.randrange(3))
+            assert await world.cancel(job_id) == "cancelled"
+            for index in range(3):
+                if f"node-{index}" not in world.nodes:
+                    world.boot(index)
+        await anyio.sleep(40.0)
+        world.check()
+        assert not any(t.name.partition("/")[0] in ids for _, t in world.present())
+
+    run(world, main)
+    assert world.broken == []
+
+
+def test_a_job_that_fails_everywhere_backs_off_and_blames_no_machine() -> None:
+    world = World(21)
+
+    async def main() -> None:
+        await warm(world)
+        await world.submit(job(1, docket="broken", entries=2))
+        good = [job(n, entries=2) for n in range(2, 8)]
+        for spec in good:
+            await world.submit(spec)
+            await anyio.sleep(8.0)
+        assert not await world.until_done([s["id"] for s in good], 60.0)
+        assert await world.cancel("job-000001") == "cancelled"
+
+    run(world, main)
+    assert world.broken == []
+    returned = [w for w in world.cloud.workers.values() if w.state == "deleted"]
+    assert len(returned) <= 2
+
+
+def test_submissions_are_idempotent_and_answered_at_once() -> None:
+    world = World(31)
+
+    async def main() -> None:
+        await warm(world)
+        spec = job(5)
+        assert (await world.ask("POST", "/work", spec)).status in (0, 422) or world.specs.update(
+            {spec["id"]: spec}
+        ) is None
+        assert await world.submit(spec) in (200, 201)
+        assert not await world.until_done([spec["id"]], 60.0)
+        for _ in range(3):
+            answer = await world.ask("POST", "/work", spec | {"entries": "nonsense"})
+            assert answer.status == 200
+        assert (await world.ask("POST", "/work", job(6, bureau="nobody"))).status == 422
+        assert (await world.ask("POST", "/work", job(6, vcpus=64.0))).status == 422
+        assert (await world.ask("POST", "/work", job(6, vcpus=float("nan")))).status == 400
+        assert (await world.ask("POST", "/work", [1])).status == 400
+        assert (await world.ask("GET", "/nothing")).status == 404
+        assert (await world.ask("DELETE", "/work")).status == 405
+        world.store.outage(True)
+        await anyio.sleep(5.0)
+        before = anyio.current_time()
+        answer = await world.ask("POST", "/work", job(7))
+        assert answer.status == 503 and answer.retry_after is not None
+        assert anyio.current_time() - before < 1.0
+
+    run(world, main)
+    assert world.broken == []
