--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -27,12 +27,15 @@
     submit,
 )
 from sandladder.model import (
+    ARRAY,
     CANCELLED,
     DONE,
     FINAL,
     JOB,
     NODE,
+    TEAM,
     TERM,
+    TYPES,
     Attempt,
     Final,
     Job,
@@ -66,6 +69,11 @@
 _BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
 
 
+def _state_of(dialogue: Dialogue) -> tuple[int, bool, int]:
+    """What the other controllers should soon know of a machine."""
+    return dialogue.session, dialogue.notice_at is None, len(dialogue.failed)
+
+
 class _Asked:
     """A request that a peer was asked to serve."""
 
@@ -97,6 +105,8 @@
         # A request to the state service that takes this long is given up.
         self.state_timeout_s = self.lease_s / 8
         self.beat_s = self.report_s / 6
+        # Room for the key and the braces around a value.
+        self._value_bytes = deployment.state.value_kb * 1024 * 0.95
 
         self.mirror = Mirror()
         self.delivery = Delivery()
@@ -122,10 +132,14 @@
         self._term_lock = anyio.Lock()
         self._plan_due = Signal()
         self._hold_due = Signal()
-        self._summary_due = Signal()
         self._barred: dict[str, float] = {}
         self._ends: dict[str, dict[tuple[int, int], Ended]] = {}
-        self._ending: dict[tuple[str, int, int], float] = {}
+        self._ends_due: dict[str, float] = {}
+        self._ends_under_way: set[str] = set()
+        # How long an end may wait for others to share its commit.
+        self._ends_wait_s = self.report_s
+        # When an end was first proved, and who was told.
+        self._ending: dict[tuple[str, int, int], tuple[float, str]] = {}
         self._clients: dict[str, tuple[str, Requester]] = {}
         self._asks = 0
         self._asked: dict[int, _Asked] = {}
@@ -235,7 +249,7 @@
             nonlocal taken
             taken = max(self.mirror.term, above) + 1
             view.put(TERM, taken, self.mirror.version(TERM))
-            put_summary(view, self.node, self._summary(taken), lease)
+            self._put_summary(view, taken, lease)
             return True
 
         change = self.committer.add(Change("term", P_HOLD, 2, apply, leased=True))
@@ -257,6 +271,9 @@
                 return False
             return True
 
+    def _put_summary(self, view: View, term: int, lease: int) -> None:
+        put_summary(view, self.node, self._summary(term), lease, self._value_bytes)
+
     def _summary(self, term: int) -> Summary:
         now = anyio.current_time()
         self.picture.now = now
@@ -276,22 +293,22 @@
                 age_s=round(age, 2),
                 notice_s=None if notice is None else round(notice - now, 1),
                 errors=len(dialogue.failed),
-                images=self.picture.images.names(machine, report.session)[-4:],
+                images=tuple(self.picture.images.names(machine, report.session)[-4:]),
             )
         return Summary(term, round(self.loss.up_s(now), 2), self.mirror.revision, machines)
 
     async def _keep_summary(self) -> None:
-        """Write the room summary every few seconds, sooner when a machine comes or goes."""
-        period = self.settings.operator.summary_reports * self.report_s
+        """Write the room summary every few seconds."""
+        period = self.picture.summary_s
         while True:
-            await self._summary_due.wait(period)
+            await anyio.sleep(period)
             if not self.alive() or self._renewal is None:
                 await anyio.sleep(self.report_s / 6)
                 continue
             lease = self._renewal.lease
 
             def apply(view: View, lease: int = lease) -> bool:
-                put_summary(view, self.node, self._summary(self.delivery.term), lease)
+                self._put_summary(view, self.delivery.term, lease)
                 return True
 
             try:
@@ -304,7 +321,6 @@
                 self._hold_due.set()
             except Refused as refusal:
                 log.error("the summary was refused: %s", refusal)
-            await anyio.sleep(self.report_s / 6)
 
     # What changes set off
 
@@ -316,21 +332,25 @@
         now = self.picture.now = anyio.current_time()
         if any(key.startswith(NODE) for key in keys):
             self.loss.observe(self.mirror.nodes, now)
+            self.picture.observe()
+        if TYPES in keys:
+            self.picture.recount()
         resources: list[Resource] = []
         touched, self.mirror.touched = self.mirror.touched, set()
+        begun, self.mirror.begun = self.mirror.begun, set()
         for machine in touched:
             self.picture.touch(machine)
             resources.append(("machine", machine))
+        for job_id, task in begun:
+            resources.append(("task", f"{job_id}/{task}"))
+            job = self.mirror.jobs.get(job_id)
+            if job is not None and task in job.live:
+                self.picture.note_start(job.spec, job.live[task])
         for key in keys:
             if key.startswith(JOB):
-                job_id = key[len(JOB) :]
-                resources.append(("job", job_id))
-                job = self.mirror.jobs.get(job_id)
-                if job is not None:
-                    self.picture.note_starts(job)
-                    resources += [("task", f"{job_id}/{task}") for task in job.live]
-            elif key.startswith("s/t/"):
-                resources.append(("team", key[4:]))
+                resources.append(("job", key[len(JOB) :]))
+            elif key.startswith(TEAM):
+                resources.append(("team", key[len(TEAM) :]))
         for verdict in self.gate.changed(resources, self.picture):
             if verdict.outcome >= Outcome.REPLAN:
                 log.debug(
@@ -358,12 +378,12 @@
         if report.token > self.delivery.term and not await self._rise_above(report.token):
             return Response(421, wire.redirect_body(None))
         known = self.delivery.machines.get(report.machine)
-        before = None if known is None else (known.session, known.notice_at is None)
+        before = None if known is None else _state_of(known)
         dialogue = self._hear(report, direct=False)
         if dialogue is None:
             return Response(503, wire.error_body("a newer report is known"))
-        if before != (dialogue.session, dialogue.notice_at is None):
-            self._summary_due.set()
+        if before != _state_of(dialogue):
+            self._tell_peers(dialogue)
         commands = self.delivery.orders(dialogue, self.mirror)
         if dialogue.sending:
             commands = [c for c in commands if c.op != "start"]
@@ -374,11 +394,19 @@
         self.loss.answered(report.machine, anyio.current_time())
         return Response(200, wire.dumps(wire.commands_value(self.delivery.term, commands)))
 
+    def _tell_peers(self, dialogue: Dialogue) -> None:
+        """A machine came or changed: others can use that before our next summary."""
+        sight = self.picture.sight(dialogue.report.machine)
+        if sight is not None:
+            for link in self.links.values():
+                link.send(mesh.Sighting(self.node, dialogue.report.machine, sight.seen))
+
     def _hear(self, report: Report, *, direct: bool) -> Dialogue | None:
         now = self.picture.now = anyio.current_time()
         dialogue, news = self.delivery.heard(report, now, direct=direct)
         if not news:
             return None
+        self.picture.heard(dialogue)
         if dialogue.obeys and not dialogue.synced and self._tasks is not None:
             self._tasks.start_soon(self._confirm, dialogue, dialogue.epoch)
         self._collect_ends(self.delivery.ends(dialogue, self.mirror))
@@ -459,41 +487,74 @@
     # Ends
 
     def _collect_ends(self, ends: list[Ended]) -> None:
-        """Have proved ends committed: by the placing controller, soon by us if it does not."""
-        if not ends:
-            return
+        """Take in proved ends: the room is free at once, the placing controller commits them."""
         now = anyio.current_time()
         away: dict[str, list[mesh.EndedTask]] = {}
+        news: list[mesh.EndedTask] = []
         for item in ends:
             key = (item.job, item.task, item.attempt.attempt)
             job = self.mirror.jobs.get(item.job)
             owner = self.owner(job.spec.team) if job else self.node
-            told = self._ending.setdefault(key, now)
-            if owner == self.node or now - told > self.report_s / 3:
+            told = mesh.EndedTask(item.job, item.task, *item.attempt[:4], outcome=item.outcome)
+            first = self._ending.get(key)
+            if first is None:
+                first = self._ending[key] = (now, owner)
+                self.picture.note_over(item)
+                self._plan_due.set()
+                news.append(told)
+            elif first[1] != owner:
+                # Whoever was told has stopped placing the team since.
+                self._ending[key] = (first[0], owner)
+                away.setdefault(owner, []).append(told)
+            if owner == self.node or now - first[0] > 2 * self._ends_wait_s:
                 self._commit_end(item)
-            elif told == now:
-                away.setdefault(owner, []).append(
-                    mesh.EndedTask(item.job, item.task, *item.attempt[:4], outcome=item.outcome)
-                )
+        if news:
+            for link in self.links.values():
+                link.send(mesh.Ends(news))
         for owner, items in away.items():
-            self.links[owner].send(mesh.Ends(items))
+            if owner != self.node:
+                self.links[owner].send(mesh.Ends(items))
 
     def _commit_end(self, item: Ended) -> None:
+        """Have a proved end committed, at once if something waits for it.
+
+        The room that it leaves is given away before that, so most ends can wait a little
+        and share one change of their job's record: the store takes few changes.
+        """
         waiting = self._ends.setdefault(item.job, {})
         key = (item.task, item.attempt.attempt)
         if key in waiting:
             return
-        first = not waiting
         waiting[key] = item
-        if first:
-            job = self.mirror.jobs.get(item.job)
-            priority = work_priority(job.spec) if job else P_WORK
-            change = Change(
-                f"ends of {item.job}", priority, 3, lambda view: self._apply_ends(view, item.job)
-            )
-            self.committer.add(change)
-            if self._tasks is not None:
-                self._tasks.start_soon(self._after_ends, change, item.job)
+        now = anyio.current_time()
+        due = now if self._presses(item) else now + self._ends_wait_s
+        self._ends_due[item.job] = min(due, self._ends_due.get(item.job, due))
+        if due <= now:
+            self._commit_ends(item.job)
+
+    def _presses(self, item: Ended) -> bool:
+        """Whether something waits for this end to be committed."""
+        job = self.mirror.jobs.get(item.job)
+        if job is None or item.outcome != "done" or job.spec.kind != ARRAY:
+            return True
+        if len(self._ends[item.job]) >= len(job.live):
+            return True
+        cpus, gpus = self.picture.team_left(job.spec.team)
+        bound = len(job.live) >= self.planner.most_live
+        return job.waiting > 0 and (bound or cpus < job.spec.cpus or gpus < job.spec.gpus)
+
+    def _commit_ends(self, job_id: str) -> None:
+        if job_id in self._ends_under_way:
+            return
+        self._ends_under_way.add(job_id)
+        job = self.mirror.jobs.get(job_id)
+        priority = work_priority(job.spec) if job else P_WORK
+        change = Change(
+            f"ends of {job_id}", priority, 3, lambda view: self._apply_ends(view, job_id)
+        )
+        self.committer.add(change)
+        if self._tasks is not None:
+            self._tasks.start_soon(self._after_ends, change, job_id)
 
     def _apply_ends(self, view: View, job_id: str) -> bool:
         items = list(self._ends.get(job_id, {}).values())
@@ -505,6 +566,8 @@
         except Refused as refusal:
             log.error("ends of %s were refused: %s", job_id, refusal)
         left = self._ends.pop(job_id, {})
+        self._ends_due.pop(job_id, None)
+        self._ends_under_way.discard(job_id)
         for item in left.values():
             self._note_end(item)
             job = self.mirror.jobs.get(job_id)
@@ -545,7 +608,9 @@
             self.picture.forget()
             for machine in [m for m in self._clients if m not in self.delivery.machines]:
                 await self._clients.pop(machine)[1].aclose()
-            self._ending = {k: t for k, t in self._ending.items() if now - t < 4 * self.lease_s}
+            for job_id in [j for j, due in self._ends_due.items() if due <= now]:
+                self._commit_ends(job_id)
+            self._ending = {k: t for k, t in self._ending.items() if now - t[0] < 4 * self.lease_s}
             for job_id in self.planner.avoid.keys() - self.mirror.jobs.keys():
                 del self.planner.avoid[job_id]
             self._barred = {j: t for j, t in self._barred.items() if t > now}
@@ -575,7 +640,7 @@
             gone = listed is not None and listed.state == "gone"
             if not gone:
                 sight = self.picture.sight(machine)
-                if sight is not None and sight.age_s < self.lease_s:
+                if sight is not None and self.picture.age_s(sight) < self.lease_s:
                     # A later session ends what an earlier one ran.
                     found += [
                         Ended(job.id, task, attempt, "lost")
@@ -634,7 +699,7 @@
             if not self.alive() or not self.watch.loaded or not self.mirror.types:
                 await anyio.sleep(self.report_s / 10)
                 continue
-            self.picture.now = anyio.current_time()
+            began = self.picture.now = anyio.current_time()
             admitted = self.planner.plan(self._owned(), self._barred)
             batches: dict[str, list[Intent]] = {}
             for intent in admitted:
@@ -644,7 +709,10 @@
             owned = self._owned()
             for victim in self.planner.preempt(owned, self._barred) + self.planner.moves(owned):
                 self._commit_stop(victim)
-            await anyio.sleep(self.report_s / 100)
+            # Planning may take a quarter of our time; the more there is to do, the more
+            # is done at once.
+            took = anyio.current_time() - began
+            await anyio.sleep(max(self.report_s / 100, 3 * took))
 
     def _commit_stop(self, victim: Victim) -> None:
         """Have a running task stopped so that more urgent work gets its room."""
@@ -703,6 +771,8 @@
                 log.debug("%s %s: %s", verdict.outcome.name, intent.key, verdict.reason)
         if not passed or job is None or not self.alive():
             return False
+        # Ends of the same job that wait share the change.
+        end(view, self._ends.get(job_id, {}).values())
         start(view, job_id, passed, self.picture.limits.get(job.spec.team, TeamLimits("")))
         return True
 
@@ -751,10 +821,19 @@
             if asked is not None:
                 asked.answer = Response(message.status, message.body, message.retry_after)
                 asked.arrived.set()
+        elif isinstance(message, mesh.Sighting):
+            self.picture.now = anyio.current_time()
+            self.picture.tell(message.node, message.machine, message.seen)
+            self._plan_due.set()
         else:
             for item in message.ends:
                 attempt = Attempt(item.machine, item.zone, item.session, item.attempt)
-                self._commit_end(Ended(item.job, item.task, attempt, item.outcome))
+                ended = Ended(item.job, item.task, attempt, item.outcome)
+                self.picture.note_over(ended)
+                job = self.mirror.jobs.get(item.job)
+                if job is not None and self.owner(job.spec.team) == self.node:
+                    self._commit_end(ended)
+            self._plan_due.set()
 
     async def _answer_peer(self, ask: mesh.Ask) -> None:
         """Serve a user's request that came to a peer; it is not passed on again."""
--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -32,6 +32,7 @@
     Summary,
     Team,
     fleet_chunk,
+    pack_summary,
 )
 from sandladder.settings import TeamLimits
 
@@ -251,9 +252,16 @@
     return None
 
 
-def put_summary(view: View, node: str, summary: Summary, lease: int) -> None:
-    key = NODE + node
-    view.put(key, msgspec.to_builtins(summary), view.mirror.version(key), lease)
+def put_summary(view: View, node: str, summary: Summary, lease: int, value_bytes: float) -> None:
+    """Write a room summary, in as many parts as the store's limit on values asks for."""
+    parts = [NODE + node]
+    for index, value in enumerate(pack_summary(summary, value_bytes)):
+        if index:
+            parts.append(f"{NODE}{node}/{index}")
+        view.put(parts[-1], value, view.mirror.version(parts[-1]), lease)
+    while view.mirror.version(key := f"{NODE}{node}/{len(parts)}"):
+        view.put(key, None, view.mirror.version(key))
+        parts.append(key)
 
 
 def put_types(view: View, types: dict[str, MachineType]) -> None:
--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -13,6 +13,7 @@
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from sandladder.model import Seen
 from sandladder.settings import Peer, split_addr
 from sandladder.store import Signal
 
@@ -47,8 +48,16 @@
     outcome: str
 
 
+class Sighting(msgspec.Struct, tag="sighting", array_like=True):
+    """A machine came, changed or is about to go, as its controller hears it."""
+
+    node: str
+    machine: str
+    seen: Seen
+
+
 class Ends(msgspec.Struct, tag="ends", array_like=True):
-    """Ends for the controller that places the jobs' team to commit."""
+    """Proved ends: room for all, and for whoever places the jobs' team to commit."""
 
     ends: list[EndedTask]
 
@@ -72,7 +81,7 @@
     retry_after: int | None
 
 
-Message = Beat | Poke | Ends | Ask | Answer
+Message = Beat | Poke | Sighting | Ends | Ask | Answer
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import re
 from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any, NamedTuple
@@ -233,10 +234,15 @@
         return twin
 
     def record(self) -> dict[str, Any]:
-        """The job's record; starts of one batch on one machine share an item."""
-        groups: dict[Attempt, Ranges] = {}
-        for task, attempt in self.live.items():
-            groups.setdefault(attempt, Ranges()).add(task)
+        """The job's record: attempts that differ only in task and machine share their parts.
+
+        What is live is written as [attempt, stop, [machine, zone, session, tasks...]...], a
+        machine by its number where its name allows, and zones by their place in a table.
+        """
+        groups: dict[tuple[int, float | None], dict[tuple[str, str, int], Ranges]] = {}
+        for task, item in self.live.items():
+            batch = groups.setdefault((item.attempt, item.stop), {})
+            batch.setdefault(item[:3], Ranges()).add(task)
         value: dict[str, Any] = {
             "s": msgspec.to_builtins(self.spec),
             "t": round(self.submitted, 3),
@@ -245,7 +251,20 @@
         if self.done.count:
             value["d"] = self.done.flat()
         if groups:
-            value["l"] = [[*attempt, tasks.flat()] for attempt, tasks in groups.items()]
+            zones = sorted({item.zone for item in self.live.values()})
+            value["z"] = zones
+            place = {zone: index for index, zone in enumerate(zones)}
+            value["l"] = [
+                [
+                    attempt,
+                    stop,
+                    *(
+                        [short_name(machine), place[zone], session, *tasks.flat()]
+                        for (machine, zone, session), tasks in batch.items()
+                    ),
+                ]
+                for (attempt, stop), batch in groups.items()
+            ]
         if self.cancelled:
             value["c"] = 1
         if self.errors:
@@ -253,20 +272,38 @@
         return value
 
     @classmethod
-    def load(cls, value: dict[str, Any]) -> "Job":
-        job = cls(msgspec.convert(value["s"], JobSpec, strict=False), float(value["t"]))
+    def load(cls, value: dict[str, Any], spec: JobSpec | None = None) -> "Job":
+        """Read a record; a spec that is known already is not read again."""
+        if spec is None:
+            spec = msgspec.convert(value["s"], JobSpec, strict=False)
+        job = cls(spec, float(value["t"]))
         job.next_attempt = int(value["n"])
         job.done = Ranges(value.get("d"))
-        for machine, zone, session, attempt, stop, tasks in value.get("l") or []:
-            item = Attempt(machine, zone, session, attempt, stop)
-            for lo, hi in zip(tasks[::2], tasks[1::2], strict=True):
-                for task in range(lo, hi):
-                    job.live[task] = item
+        zones = value.get("z") or []
+        for attempt, stop, *batch in value.get("l") or []:
+            for machine, place, session, *tasks in batch:
+                item = Attempt(long_name(machine), zones[place], session, attempt, stop)
+                for lo, hi in zip(tasks[::2], tasks[1::2], strict=True):
+                    for task in range(lo, hi):
+                        job.live[task] = item
         job.cancelled = bool(value.get("c"))
         job.errors = int(value.get("e") or 0)
         return job
 
 
+_NUMBERED = re.compile(r"vm-([0-9]{6})", re.ASCII)
+
+
+def short_name(machine: str) -> str | int:
+    """A machine's name as records hold it: its number, when that tells the whole name."""
+    found = _NUMBERED.fullmatch(machine)
+    return int(found[1]) if found else machine
+
+
+def long_name(short: str | int) -> str:
+    return f"vm-{short:06d}" if isinstance(short, int) else short
+
+
 class Final(NamedTuple):
     """What is kept of a job that is over."""
 
@@ -291,7 +328,7 @@
     since: float  # time of day at which it came into this state
 
 
-class Seen(msgspec.Struct, array_like=True):
+class Seen(NamedTuple):
     """One machine in a controller's room summary."""
 
     type: str
@@ -301,11 +338,11 @@
     age_s: float  # since the controller last answered it
     notice_s: float | None = None
     errors: int = 0  # different jobs in a row that failed there
-    images: list[str] = []
+    images: tuple[str, ...] = ()  # the most recent last
 
 
-class Summary(msgspec.Struct, rename={"revision": "r", "term": "n", "up_s": "u", "machines": "m"}):
-    """A controller's room summary; its key is attached to the controller's hold."""
+class Summary(NamedTuple):
+    """A controller's room summary; its keys are attached to the controller's hold."""
 
     term: int
     up_s: float
@@ -313,6 +350,87 @@
     machines: dict[str, Seen] = {}
 
 
+class _Part(msgspec.Struct, rename={"kinds": "k", "images": "i", "rows": "m", "odd": "x"}):
+    """Machines of a summary in columns; what most machines lack stands apart."""
+
+    kinds: list[tuple[str, str, bool]] = []
+    images: list[str] = []
+    # Name, kind, age in tenths of a second, then places in the table of images.
+    rows: list[list[str | int]] = []
+    # By place in the rows: session, notice in seconds, errors.
+    odd: dict[int, tuple[int, float | None, int]] = {}
+
+
+class _Head(_Part, rename={"term": "n", "up_s": "u", "revision": "r", "parts": "p"}):
+    """The first part of a summary, which says how many there are."""
+
+    term: int = 0
+    up_s: float = 0.0
+    revision: int = 0
+    parts: int = 1
+
+
+def _pack(part: _Part, machines: list[tuple[str, Seen]], images: int) -> None:
+    kinds: dict[tuple[str, str, bool], int] = {}
+    names: dict[str, int] = {}
+    for index, (machine, seen) in enumerate(machines):
+        kind = kinds.setdefault((seen.type, seen.zone, seen.spot), len(kinds))
+        # An age that is too low only makes a proof of loss later.
+        row: list[str | int] = [short_name(machine), kind, int(seen.age_s * 10)]
+        if images:
+            row += [names.setdefault(image, len(names)) for image in seen.images[-images:]]
+        part.rows.append(row)
+        if seen.session != 1 or seen.notice_s is not None or seen.errors:
+            part.odd[index] = (seen.session, seen.notice_s, seen.errors)
+    part.kinds, part.images = list(kinds), list(names)
+
+
+def pack_summary(summary: Summary, value_bytes: float) -> list[dict[str, Any]]:
+    """The summary's values, each within the store's limit.
+
+    Names of images are hints and go first when it gets tight; then the machines are split
+    over several values, which are written together.
+    """
+    machines = sorted(summary.machines.items())
+    for number in range(1, len(machines) + 2):
+        size = -(-len(machines) // number) if machines else 0
+        for images in (4, 2, 1, 0) if number == 1 else (1, 0):
+            values: list[dict[str, Any]] = []
+            for index in range(number):
+                part: _Part = _Part() if index else _Head([], [], [], {}, *summary[:3], number)
+                _pack(part, machines[index * size : (index + 1) * size], images)
+                value = msgspec.to_builtins(part, str_keys=True)
+                if index:
+                    value["r"] = summary.revision  # parts of one writing belong together
+                values.append(value)
+            if all(len(msgspec.json.encode(value)) <= value_bytes for value in values):
+                return values
+    return values
+
+
+def unpack_summary(values: list[dict[str, Any]]) -> Summary | None:
+    """A summary from its values, or None when they are not of one writing."""
+    head = msgspec.convert(values[0], _Head, strict=False)
+    if head.parts != len(values):
+        return None
+    machines: dict[str, Seen] = {}
+    for index, value in enumerate(values):
+        if value.get("r") != head.revision:
+            return None
+        part = head if index == 0 else msgspec.convert(value, _Part, strict=False)
+        for place, (name, kind, age, *images) in enumerate(part.rows):
+            session, notice_s, errors = part.odd.get(place, (1, None, 0))
+            machines[long_name(name)] = Seen(
+                *part.kinds[int(kind)],
+                session,
+                int(age) / 10,
+                notice_s,
+                errors,
+                tuple(part.images[int(image)] for image in images),
+            )
+    return Summary(head.term, head.up_s, head.revision, machines)
+
+
 class Mirror:
     """A controller's copy of the records, kept up by the watch and by its own commits."""
 
@@ -328,8 +446,11 @@
         self.on_machine: dict[str, set[tuple[str, int]]] = {}
         self.versions: dict[str, int] = {}
         self.finals: OrderedDict[str, Final] = OrderedDict()
-        # Machines whose committed starts changed since somebody last asked.
+        # Machines whose committed starts changed, and tasks that were started or done, since
+        # somebody last asked.
         self.touched: set[str] = set()
+        self.begun: set[tuple[str, int]] = set()
+        self._parts: dict[str, dict[int, Any]] = {}  # values of the nodes' summaries
         # Keys that our own commits moved past `revision`: older news of them is ignored.
         self._ahead: dict[str, int] = {}
 
@@ -391,17 +512,15 @@
             self.versions[key] = version
         name = key.rpartition("/")[2]
         if key.startswith(JOB):
-            self._set_job(name, None if value is None else Job.load(value))
+            self._set_job(name, value)
         elif key.startswith(TEAM):
             if value is None:
                 self.teams.pop(name, None)
             else:
                 self.teams[name] = Team(*value)
         elif key.startswith(NODE):
-            if value is None:
-                self.nodes.pop(name, None)
-            else:
-                self.nodes[name] = msgspec.convert(value, Summary, strict=False)
+            node, _, part = key[len(NODE) :].partition("/")
+            self._set_part(node, int(part or 0), value)
         elif key.startswith(FLEET):
             chunk = int(name)
             for machine in [m for m in self.fleet if fleet_chunk(m) == chunk]:
@@ -421,21 +540,47 @@
         if len(self.finals) > FINALS_KEPT:
             self.finals.popitem(last=False)
 
-    def _set_job(self, job_id: str, job: Job | None) -> None:
+    def _set_part(self, node: str, index: int, value: Any) -> None:
+        parts = self._parts.setdefault(node, {})
+        if value is None:
+            parts.pop(index, None)
+        else:
+            parts[index] = value
+        if 0 not in parts:
+            self.nodes.pop(node, None)
+            return
+        number = int(parts[0].get("p", 1))
+        # Parts arrive one after the other; until the last the former summary stands.
+        if all(i in parts for i in range(number)):
+            summary = unpack_summary([parts[i] for i in range(number)])
+            if summary is not None:
+                self.nodes[node] = summary
+
+    def _set_job(self, job_id: str, value: Any) -> None:
         old = self.jobs.get(job_id)
-        if old is not None:
-            for task, attempt in old.live.items():
-                self.touched.add(attempt.machine)
-                tasks = self.on_machine[attempt.machine]
-                tasks.discard((job_id, task))
-                if not tasks:
-                    del self.on_machine[attempt.machine]
-        if job is None:
+        before = old.live if old is not None else {}
+        after: dict[int, Attempt] = {}
+        if value is None:
             self.jobs.pop(job_id, None)
-            return
-        self.jobs[job_id] = job
-        for task, attempt in job.live.items():
+        else:
+            job = Job.load(value, old.spec if old is not None else None)
+            self.jobs[job_id] = job
+            after = job.live
+            if old is not None and job.cancelled != old.cancelled:
+                self.touched.update(attempt.machine for attempt in after.values())
+        for task, attempt in before.items():
+            if after.get(task) == attempt:
+                continue
+            self.touched.add(attempt.machine)
+            tasks = self.on_machine[attempt.machine]
+            tasks.discard((job_id, task))
+            if not tasks:
+                del self.on_machine[attempt.machine]
+        for task, attempt in after.items():
+            if before.get(task) == attempt:
+                continue
             self.touched.add(attempt.machine)
+            self.begun.add((job_id, task))
             self.on_machine.setdefault(attempt.machine, set()).add((job_id, task))
 
     def attempts_on(self, machine: str) -> Iterator[tuple[Job, int, Attempt]]:
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -5,13 +5,15 @@
 (see premises).  Pure: no I/O, no clock; randomness comes from a seeded generator.
 """
 
-from collections import OrderedDict
+import heapq
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
+from itertools import islice
 from random import Random
 from typing import NamedTuple
 
-from sandladder.delivery import Delivery
-from sandladder.lifecycle import LossProof, Placement, zones_allowed
+from sandladder.delivery import Delivery, Dialogue
+from sandladder.lifecycle import Ended, LossProof, Placement, zones_allowed
 from sandladder.model import (
     ARRAY,
     GANG,
@@ -20,11 +22,14 @@
     PRODUCTION,
     SERVICE,
     TEAM,
+    Attempt,
     Job,
     JobSpec,
     Machine,
+    MachineType,
     Mirror,
     Seen,
+    Summary,
     Team,
 )
 from sandladder.premises import Gate, Intent, Resource, Room
@@ -33,14 +38,16 @@
 # A machine on which so many different jobs failed in a row is not trusted with more.  One
 # job alone proves nothing: it may fail everywhere.
 SICK_ERRORS = 2
+# What a task alone on its machine takes of its job's record, with holes in what is done.
+_ITEM_BYTES = 32
 
 
 class Sight(NamedTuple):
-    """The best word on a machine: what it is, who says so, and how old that is."""
+    """The best word on a machine: what it is, who says so, and as of when."""
 
     seen: Seen
     clerk: str
-    age_s: float
+    at: float
 
 
 class Victim(NamedTuple):
@@ -99,63 +106,102 @@
         self.delivery = delivery
         self.loss = loss
         self.gate = gate
+        gate.on_move = self._moved
         self.images = Images()
         self.now = 0.0
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
         self._touched: dict[str, int] = {}
+        self._sights: dict[str, Sight] = {}
+        self._told: dict[str, Summary] = {}  # the summaries that were taken in
+        # What is left on machines, worked out again only where something changed.
+        self._left: dict[str, tuple[float, float, float]] = {}
+        # Attempts that are surely over while their end is not committed yet: their room is free.
+        self.over: dict[str, set[tuple[str, int, int]]] = {}
         workers = settings.platform.deployment.workers
         # A report may be a quarter late; past two of them the machine is in doubt.
         self.fresh_s = 2.5 * workers.report_s
-        self.summary_s = settings.operator.summary_reports * workers.report_s
+        self.summary_s = summary_period_s(settings)
+        self.late_s = self.fresh_s + self.summary_s
 
     # Evidence
 
-    def sight(self, machine: str) -> Sight | None:
-        """The freshest word on a machine."""
-        best: Sight | None = None
-        dialogue = self.delivery.machines.get(machine)
-        if dialogue is not None:
-            report = dialogue.report
-            notice = dialogue.notice_at
-            best = Sight(
-                Seen(
-                    type=report.type,
-                    zone=report.zone,
-                    spot=report.spot,
-                    session=report.session,
-                    age_s=0.0,
-                    notice_s=None if notice is None else notice - self.now,
-                    errors=len(dialogue.failed),
-                ),
-                self.settings.node,
-                self.now - dialogue.heard_at,
-            )
+    def heard(self, dialogue: Dialogue) -> None:
+        """Take in what a machine reported to us."""
+        report, notice = dialogue.report, dialogue.notice_at
+        seen = Seen(
+            type=report.type,
+            zone=report.zone,
+            spot=report.spot,
+            session=report.session,
+            age_s=0.0,
+            notice_s=None if notice is None else notice - self.now,
+            errors=len(dialogue.failed),
+        )
+        self._see(report.machine, Sight(seen, self.settings.node, dialogue.heard_at))
+
+    def observe(self) -> None:
+        """Take in the summaries that are new."""
         for node, summary, observed in self.loss.statements():
-            seen = summary.machines.get(machine)
-            if seen is None:
+            if self._told.get(node) is summary:
                 continue
-            age = seen.age_s + self.now - observed
-            if best is None or (seen.session, -age) > (best.seen.session, -best.age_s):
-                best = Sight(seen, node, age)
-        return best
+            self._told[node] = summary
+            for machine, seen in summary.machines.items():
+                self._see(machine, Sight(seen, node, observed - seen.age_s))
+
+    def tell(self, node: str, machine: str, seen: Seen) -> None:
+        """Take in a peer's word on one machine."""
+        self._see(machine, Sight(seen, node, self.now - seen.age_s))
+
+    def _see(self, machine: str, new: Sight) -> None:
+        old = self._sights.get(machine)
+        if old is not None:
+            if (new.seen.session, new.at) < (old.seen.session, old.at):
+                return
+            if not new.seen.images and new.seen.session == old.seen.session:
+                new = new._replace(seen=new.seen._replace(images=old.seen.images))
+        self._sights[machine] = new
+
+    def sight(self, machine: str) -> Sight | None:
+        """The freshest word on a machine."""
+        return self._sights.get(machine)
 
-    def machines(self) -> set[str]:
+    def age_s(self, sight: Sight) -> float:
+        return self.now - sight.at
+
+    def machines(self) -> Iterable[str]:
         """All machines that anyone has heard of lately."""
-        found = set(self.delivery.machines)
-        for _, summary, _ in self.loss.statements():
-            found.update(summary.machines)
-        return found
+        return self._sights.keys()
 
     def room(self, machine: str) -> Room | None:
-        sight = self.sight(machine)
+        sight = self._sights.get(machine)
         if sight is None:
             return None
         seen = sight.seen
         kind = self.mirror.types.get(seen.type)
         if kind is None:
             return None
+        left = self._left.get(machine)
+        if left is None:
+            left = self._left[machine] = self._count(machine, kind)
+        late = self.fresh_s if sight.clerk == self.settings.node else self.late_s
+        listed = self.mirror.fleet.get(machine)
+        usable = (
+            self.now - sight.at <= late
+            and seen.notice_s is None
+            and seen.errors < SICK_ERRORS
+            and (listed is None or listed.state not in ("draining", "gone"))
+        )
+        return Room(
+            machine, seen.type, seen.zone, seen.spot, seen.session, sight.clerk, *left, usable
+        )
+
+    def _count(self, machine: str, kind: MachineType) -> tuple[float, float, float]:
+        """What is left there next to committed and pending starts."""
         cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
-        for job, _, _ in self.mirror.attempts_on(machine):
+        over = self.over.get(machine, ())
+        for job, task, attempt in self.mirror.attempts_on(machine):
+            if (job.id, task, attempt.attempt) in over:
+                continue
             cpus -= job.spec.cpus
             gpus -= job.spec.gpus
             memory -= job.spec.memory_gb
@@ -163,31 +209,35 @@
             cpus -= intent.spec.cpus
             gpus -= intent.spec.gpus
             memory -= intent.spec.memory_gb
-        late = self.fresh_s + (0.0 if sight.clerk == self.settings.node else self.summary_s)
-        listed = self.mirror.fleet.get(machine)
-        usable = (
-            sight.age_s <= late
-            and seen.notice_s is None
-            and seen.errors < SICK_ERRORS
-            and (listed is None or listed.state not in ("draining", "gone"))
-        )
-        return Room(
-            machine,
-            seen.type,
-            seen.zone,
-            seen.spot,
-            seen.session,
-            sight.clerk,
-            cpus,
-            gpus,
-            memory,
-            usable,
+        return cpus, gpus, memory
+
+    def _moved(self, machine: str) -> None:
+        self._left.pop(machine, None)
+
+    def recount(self) -> None:
+        """What machines can hold may have changed."""
+        self._left.clear()
+
+    def note_over(self, item: Ended) -> None:
+        """An attempt is surely over: what it held can be given away before that is committed."""
+        machine = item.attempt.machine
+        key = (item.job, item.task, item.attempt.attempt)
+        if key not in self.over.setdefault(machine, set()):
+            self.over[machine].add(key)
+            self.touch(machine)
+
+    def freed(self, machine: str) -> bool:
+        """Whether nothing runs there any more, committed or not."""
+        over = self.over.get(machine, ())
+        return all(
+            (job.id, task, attempt.attempt) in over
+            for job, task, attempt in self.mirror.attempts_on(machine)
         )
 
     def usable_rooms(self) -> dict[str, Room]:
         """All machines that can be given work."""
         rooms = {}
-        for machine in sorted(self.machines()):
+        for machine in self._sights:
             room = self.room(machine)
             if room is not None and room.usable:
                 rooms[machine] = room
@@ -222,27 +272,38 @@
     def touch(self, machine: str) -> None:
         """Something about this machine changed."""
         self._touched[machine] = self._touched.get(machine, 0) + 1
-
-    def note_starts(self, job: Job) -> None:
-        """Learn from a job's record which images machines have or fetch."""
-        for attempt in job.live.values():
-            sight = self.sight(attempt.machine)
-            kind = self.mirror.types.get(sight.seen.type) if sight else None
-            if kind is not None:
-                self.images.touch(
-                    attempt.machine,
-                    attempt.session,
-                    job.spec,
-                    kind.fetch_gb_per_s,
-                    kind.cache_gb,
-                    self.now,
-                )
+        self._left.pop(machine, None)
+
+    def note_start(self, spec: JobSpec, attempt: Attempt) -> None:
+        """Learn from a committed start which image its machine has or fetches."""
+        known = self.mirror.fleet.get(attempt.machine)
+        sight = self.sight(attempt.machine)
+        name = sight.seen.type if sight else known.type if known else ""
+        kind = self.mirror.types.get(name)
+        if kind is not None:
+            self.images.touch(
+                attempt.machine,
+                attempt.session,
+                spec,
+                kind.fetch_gb_per_s,
+                kind.cache_gb,
+                self.now,
+            )
 
     def forget(self) -> None:
         """Drop what is known of machines that nobody speaks of any more."""
-        known = self.machines() | set(self.mirror.fleet) | set(self.mirror.on_machine)
+        longest = 4 * self.settings.platform.deployment.workers.lease_s
+        for machine in [m for m, s in self._sights.items() if self.now - s.at > longest]:
+            del self._sights[machine]
+        known = self._sights.keys() | self.mirror.fleet.keys() | self.mirror.on_machine.keys()
         self.images.keep(known)
         self._touched = {m: v for m, v in self._touched.items() if m in known}
+        self._left = {m: v for m, v in self._left.items() if m in known}
+        for machine in list(self.over):
+            held = {(j.id, task, a.attempt) for j, task, a in self.mirror.attempts_on(machine)}
+            self.over[machine] &= held
+            if not self.over[machine]:
+                del self.over[machine]
 
     def fetch_wait_s(self, spec: JobSpec, placement: Placement) -> float:
         """How long a placed task still waits for its image."""
@@ -261,6 +322,16 @@
         return spec.image_gb / max(kind.fetch_gb_per_s, 1e-6)
 
 
+def summary_period_s(settings: Settings) -> float:
+    """How often a controller writes its room summary.
+
+    All summaries together may take a twentieth of what the store accepts.
+    """
+    deployment = settings.platform.deployment
+    least = len(settings.node_names) / (deployment.state.write_rps / 20)
+    return max(settings.operator.summary_reports * deployment.workers.report_s, least)
+
+
 def allowed(spec: JobSpec, room: Room | Machine) -> bool:
     """Whether the job's own wishes allow this machine."""
     return (
@@ -305,7 +376,7 @@
         value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
         # A job's record holds an item for each batch of starts on a machine; what is live
         # at a time is bounded such that the record stays within the store's limit.
-        self.most_live = max(8, int(value_bytes * 0.6 / 56))
+        self.most_live = max(8, int(value_bytes * 0.7 / _ITEM_BYTES))
 
     def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
         """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off.
@@ -333,15 +404,21 @@
         )
         rooms = picture.usable_rooms()
         pending: dict[str, list[Intent]] = {}
-        for intent in picture.gate.pending.values():
-            pending.setdefault(intent.spec.id, []).append(intent)
         spent: dict[str, tuple[float, float]] = {}
         for intent in picture.gate.pending.values():
+            pending.setdefault(intent.spec.id, []).append(intent)
             cpus, gpus = spent.get(intent.spec.team, (0.0, 0.0))
             spent[intent.spec.team] = cpus + intent.spec.cpus, gpus + intent.spec.gpus
         admitted: list[Intent] = []
+        hopeless: set[tuple[object, ...]] = set()
         for job in jobs:
-            found = self._place(job, rooms, pending.get(job.id, []), spent)
+            # Where a like job found no room, the next one need not look.
+            like = _likeness(job.spec)
+            if like in hopeless and job.id not in self.avoid:
+                continue
+            found, exhausted = self._place(job, rooms, pending.get(job.id, []), spent)
+            if exhausted and not (job.spec.one_zone or job.spec.spread or job.id in self.avoid):
+                hopeless.add(like)
             if job.id in mine:
                 for intent in found:
                     picture.gate.admit(intent, picture)
@@ -354,46 +431,40 @@
         rooms: dict[str, Room],
         waiting: list[Intent],
         spent: dict[str, tuple[float, float]],
-    ) -> list[Intent]:
+    ) -> tuple[list[Intent], bool]:
+        """Places for waiting tasks of a job, and whether there was no room for one more."""
         picture, spec = self.picture, job.spec
         taken = {intent.placement.task for intent in waiting}
         if spec.kind == GANG and (job.live or taken):
-            return []
+            return [], False
         left_cpus, left_gpus = picture.team_left(spec.team)
         used_cpus, used_gpus = spent.get(spec.team, (0.0, 0.0))
         left_cpus, left_gpus = left_cpus - used_cpus, left_gpus - used_gpus
+        most = int((left_cpus + 1e-6) / spec.cpus)
+        if spec.gpus > 0:
+            most = min(most, int((left_gpus + 1e-6) / spec.gpus))
+        if spec.kind == GANG:
+            if most < job.waiting:
+                return [], False
+        else:
+            most = min(most, self.most_live - len(job.live) - len(taken))
+        tasks = list(islice((t for t in job.pending() if t not in taken), max(0, most)))
+        if not tasks:
+            return [], False
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
-        most = self.most_live - len(job.live) - len(taken)
-        trial = dict(rooms)
-        found: list[Intent] = []
-        for task in job.pending():
-            if task in taken:
-                continue
-            if len(found) >= most and spec.kind != GANG:
-                break
-            if spec.cpus > left_cpus + 1e-6 or spec.gpus > left_gpus + 1e-6:
-                break
-            room = self._choose(spec, trial, zones)
-            if room is None:
-                break
-            trial[room.id] = room._replace(
-                cpus=room.cpus - spec.cpus,
-                gpus=room.gpus - spec.gpus,
-                memory_gb=room.memory_gb - spec.memory_gb,
-            )
-            zones.append(room.zone)
-            left_cpus -= spec.cpus
-            left_gpus -= spec.gpus
+        chosen = self._choose(spec, rooms, zones, len(tasks))
+        if not chosen or (spec.kind == GANG and len(chosen) < job.waiting):
+            return [], True
+        found = []
+        for task, room in zip(tasks, chosen, strict=False):
+            rooms[room.id] = _less(rooms[room.id], spec)
             placement = Placement(task, room.id, room.zone, room.session)
             found.append(Intent(spec, placement, room.clerk))
-        if not found or (spec.kind == GANG and len(found) < job.waiting):
-            return []
-        rooms.update(trial)
         spent[spec.team] = (
             used_cpus + len(found) * spec.cpus,
             used_gpus + len(found) * spec.gpus,
         )
-        return found
+        return found, len(chosen) < len(tasks)
 
     def preempt(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Victim]:
         """Running tasks of lower priority to stop for work that must start at once."""
@@ -452,10 +523,10 @@
                 if rooms is None:
                     rooms = picture.usable_rooms()
                 zones = [a.zone for t, a in job.live.items() if t != task]
-                room = self._choose(spec, rooms, zones)
-                if room is None:
+                places = self._choose(spec, rooms, zones, 1)
+                if not places:
                     continue
-                rooms[room.id] = room._replace(cpus=room.cpus - spec.cpus)
+                rooms[places[0].id] = _less(places[0], spec)
                 self._claims[key] = picture.now + 2 * report_s
                 grace = 1.5 * spec.save_s
                 found.append(Victim(job.id, task, attempt.machine, grace, reason))
@@ -468,9 +539,8 @@
         picture, spec = self.picture, job.spec
         zones = [attempt.zone for attempt in job.live.values()]
         best: tuple[float, list[Victim]] | None = None
-        for machine in sorted(picture.machines()):
-            room = picture.room(machine)
-            if room is None or not room.usable or not allowed(spec, room):
+        for machine, room in picture.usable_rooms().items():
+            if not allowed(spec, room):
                 continue
             if not zones_allowed(spec, [*zones, room.zone]):
                 continue
@@ -502,8 +572,13 @@
                 best = cost, found
         return best[1] if best else None
 
-    def _choose(self, spec: JobSpec, rooms: dict[str, Room], zones: list[str]) -> Room | None:
-        """The best fit among sampled machines; the sample grows until one fits well."""
+    def _choose(
+        self, spec: JobSpec, rooms: dict[str, Room], zones: list[str], count: int
+    ) -> list[Room]:
+        """The best fits for so many tasks among sampled machines.
+
+        The sample is in proportion to the tasks, and grows until the fits are good.
+        """
         able = [
             room
             for room in rooms.values()
@@ -512,29 +587,47 @@
         shunned = self.avoid.get(spec.id)
         if shunned:
             able = [room for room in able if room.id not in shunned] or able
-        if spec.one_zone or spec.spread:
-            able = [room for room in able if zones_allowed(spec, [*zones, room.zone])]
-        size = self.picture.settings.operator.sample
+        if spec.one_zone:
+            able = _one_zone(spec, able, zones)
         self.rng.shuffle(able)
-        best: tuple[float, Room] | None = None
+        there = Counter(zones)
+        most = (spec.tasks + 1) // 2 if spec.spread else len(zones) + count
+        size = self.picture.settings.operator.sample * count
+        # Look further while the best is not a close fit with its image at hand.
+        close = 0.1 * self._run_s(spec)
+        heap: list[tuple[float, int, Room]] = []
         looked = 0
-        while looked < len(able):
-            for room in able[looked : looked + size]:
-                cost = self._cost(spec, room, zones)
-                if best is None or cost < best[0]:
-                    best = cost, room
-            looked += size
-            # Look further, in ever larger samples, while the best is not a close fit with
-            # its image at hand.
-            if best is not None and best[0] <= 0.1 * self._run_s(spec):
+        chosen: list[Room] = []
+        while len(chosen) < count:
+            if looked < len(able) and (not heap or heap[0][0] > close):
+                for index in range(looked, min(len(able), looked + size)):
+                    cost = self._cost(spec, able[index], there)
+                    heapq.heappush(heap, (cost, index, able[index]))
+                looked += size
+                size = looked
+                continue
+            if not heap:
                 break
-            size = looked
-        return best[1] if best else None
+            cost, index, room = heapq.heappop(heap)
+            if there[room.zone] >= most:
+                continue
+            if spec.kind == SERVICE and there:
+                # What was chosen since may have made this zone less wanted.
+                now = self._cost(spec, room, there)
+                if now > cost + 1e-9 and heap and now > heap[0][0]:
+                    heapq.heappush(heap, (now, index, room))
+                    continue
+            chosen.append(room)
+            there[room.zone] += 1
+            room = _less(room, spec)
+            if fits(spec, room.cpus, room.gpus, room.memory_gb):
+                heapq.heappush(heap, (self._cost(spec, room, there), index, room))
+        return chosen
 
     def _run_s(self, spec: JobSpec) -> float:
         return spec.estimate_s or self.picture.settings.platform.deployment.workers.lease_s
 
-    def _cost(self, spec: JobSpec, room: Room, zones: list[str]) -> float:
+    def _cost(self, spec: JobSpec, room: Room, there: Counter[str]) -> float:
         """What placing it there costs, in seconds of a task's time."""
         kind = self.picture.mirror.types[room.type]
         cost = self.picture.fetch_s(spec, room)
@@ -543,10 +636,38 @@
             # Ordinary machines are dearer, and work that may not use others needs them.
             cost += 0.5 * run_s
         cost += 0.2 * run_s * (room.cpus - spec.cpus) / max(kind.cpus, 1.0)
-        if spec.kind == SERVICE and zones:
-            cost += run_s * zones.count(room.zone) / len(zones)
         if spec.kind == SERVICE:
+            if there:
+                cost += run_s * there[room.zone] / there.total()
             # It stays for long: a large machine would have to be kept for its sake.
             largest = max(t.cpus for t in self.picture.mirror.types.values())
             cost += run_s * (room.cpus - spec.cpus) / largest
         return cost
+
+
+def _likeness(spec: JobSpec) -> tuple[object, ...]:
+    """What decides which machines have room for a task."""
+    return spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot
+
+
+def _less(room: Room, spec: JobSpec) -> Room:
+    """What is left of a machine's room with one task more."""
+    return room._replace(
+        cpus=room.cpus - spec.cpus,
+        gpus=room.gpus - spec.gpus,
+        memory_gb=room.memory_gb - spec.memory_gb,
+    )
+
+
+def _one_zone(spec: JobSpec, able: list[Room], zones: list[str]) -> list[Room]:
+    """The machines of the zone that the job is in, or of the one with the most room."""
+    places: Counter[str] = Counter()
+    for room in able:
+        number = min(room.cpus / spec.cpus, room.memory_gb / max(spec.memory_gb, 1e-9))
+        if spec.gpus > 0:
+            number = min(number, room.gpus / spec.gpus)
+        places[room.zone] += int(number + 1e-6)
+    if not places:
+        return []
+    chosen = zones[0] if zones else max(places, key=lambda zone: places[zone])
+    return [room for room in able if room.zone == chosen]
--- a/src/sandladder/premises.py
+++ b/src/sandladder/premises.py
@@ -145,6 +145,8 @@
     job = evidence.job(intent.spec.id)
     if job is None:
         raise Unverifiable("the job is not in the records")
+    if not (intent.spec.one_zone or intent.spec.spread):
+        return intent.spec.zone in (None, intent.placement.zone)
     zones = [attempt.zone for attempt in job.live.values()]
     return zones_allowed(intent.spec, [*zones, intent.placement.zone])
 
@@ -214,16 +216,20 @@
         self.verdicts: Counter[str] = Counter()
         self.checked = 0
         self.full_scan = 0
+        # Told of each machine on which the pending starts changed.
+        self.on_move: Callable[[str], object] = lambda machine: None
 
     def admit(self, intent: Intent, evidence: Evidence) -> None:
         """Record a decision with the versions of what it was decided on."""
         intent.read = {p.resource: evidence.version(p.resource) for p in intent.premises}
         self.pending[intent.key] = intent
         self._index.add(intent)
+        self.on_move(intent.placement.machine)
 
     def withdraw(self, intent: Intent) -> None:
         if self.pending.pop(intent.key, None) is not None:
             self._index.remove(intent)
+            self.on_move(intent.placement.machine)
 
     def on_machine(self, machine: str) -> Iterable[Intent]:
         """The pending starts on a machine."""
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -5,6 +5,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Collection
 from typing import NamedTuple
 
 from sandladder.model import (
@@ -19,11 +20,13 @@
     Team,
 )
 from sandladder.placement import SICK_ERRORS, Picture, allowed, fits, order_key
+from sandladder.premises import Room
 from sandladder.settings import TeamLimits
 
 # Shares of the time that work may wait, past which spot or any machines are rented for it.
 _PRESSING_SPOT, _PRESSING_SOON, _PRESSING_ANY = 0.1, 0.4, 0.75
-_MOST_LACKING = 256
+# How many machines one request to the cloud may ask for.
+_MOST_HIRED = 50
 # A machine is given up when less than this share of it is used, and what uses it would cost
 # so many times less elsewhere.
 _WASTEFUL_USE, _WASTEFUL_PRICE = 0.4, 1.6
@@ -57,10 +60,11 @@
 
 
 class _Lack(NamedTuple):
-    """A task without room; `any_kind` if it is worth an ordinary machine."""
+    """Tasks without room; `any_kind` if they are worth an ordinary machine."""
 
     spec: JobSpec
     any_kind: bool
+    number: int
 
 
 class Provisioner:
@@ -131,31 +135,30 @@
                     more = math.ceil((backlog / left_s - self._capacity) / spec.cpus)
                     missing = min(missing, max(1, more))
                 if any_kind is not None:
-                    lacking += [_Lack(spec, any_kind)] * min(missing, _MOST_LACKING)
+                    lacking.append(_Lack(spec, any_kind, missing))
         self._pressed = bool(lacking)
         for machine, record in picture.mirror.fleet.items():
             if record.state == "draining":
                 for job, _, _ in picture.mirror.attempts_on(machine):
                     if job.spec.kind == SERVICE and not self._fill(job.spec, 1, bins):
-                        lacking.append(_Lack(job.spec, True))
+                        lacking.append(_Lack(job.spec, True, 1))
         # Room kept for what may come is not worth the dearer kind where the other will do.
-        lacking += [_Lack(spec, not spec.spot) for spec in self._spares(bins)]
+        lacking += [_Lack(spec, not spec.spot, n) for spec, n in self._spares(bins)]
         return self._rent(lacking)
 
-    def _bins(self, wall: float) -> list[_Bin]:
+    def _bins(self, wall: float, without: Collection[str] = ()) -> list[_Bin]:
         picture = self.picture
         bins = []
         self._capacity = 0.0
-        heard = picture.machines()
+        heard = set(picture.machines())
         self._came_up |= heard
         self._came_up &= heard | set(picture.mirror.fleet)
-        for machine in sorted(heard):
+        for machine in heard:
             room = picture.room(machine)
             if room is not None and room.usable:
-                found = _Bin(picture.mirror.types[room.type], room.zone, room.spot)
-                self._capacity += found.cpus
-                found.cpus, found.gpus, found.memory_gb = room.cpus, room.gpus, room.memory_gb
-                bins.append(found)
+                self._capacity += picture.mirror.types[room.type].cpus
+                if machine not in without:
+                    bins.append(self._bin(room))
         for machine, record in picture.mirror.fleet.items():
             kind = picture.mirror.types.get(record.type)
             if record.state != "rented" or machine in self._came_up or kind is None:
@@ -214,9 +217,9 @@
         early = spec.priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
         return False if spec.spot and early else None
 
-    def _spares(self, bins: list[_Bin]) -> list[JobSpec]:
-        """Room to keep ready for classes that must start before a machine could boot."""
-        lacking: list[JobSpec] = []
+    def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int]]:
+        """Room lacking for classes that must start before a machine could boot."""
+        lacking: list[tuple[JobSpec, int]] = []
         for cls, recent in self._sizes.items():
             within = self._waits.get(cls)
             if within is None or within > 2 * self._lease_s:
@@ -232,45 +235,47 @@
                 count = sizes[len(sizes) // 2]
                 ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
-            lacking += [spec] * (count - self._fill(spec, count, bins))
+            missing = count - self._fill(spec, count, bins)
+            if missing:
+                lacking.append((spec, missing))
         return lacking
 
     def _rent(self, lacking: list[_Lack]) -> list[Wish]:
         wanted: Counter[tuple[str, str, bool]] = Counter()
         fresh: list[_Bin] = []
+        fleet = Counter((m.type, m.zone, m.spot) for m in self.picture.mirror.fleet.values())
         for index, lack in enumerate(lacking):
-            if self._fill(lack.spec, 1, fresh):
-                continue
-            choice = self._cheapest(lacking[index:], lack, wanted)
-            if choice is None:
-                continue
-            kind, zone, spot = choice
-            wanted[kind.name, zone, spot] += 1
-            new = _Bin(kind, zone, spot)
-            new.take(lack.spec)
-            fresh.append(new)
-        return [Wish(t, z, s, min(n, 50)) for (t, z, s), n in wanted.items()]
+            count = lack.number - self._fill(lack.spec, lack.number, fresh)
+            while count > 0:
+                rest = [lack._replace(number=count), *lacking[index + 1 :]]
+                choice = self._cheapest(rest, wanted, fleet)
+                if choice is None:
+                    break
+                kind, zone, spot = choice
+                wanted[kind.name, zone, spot] += 1
+                new = _Bin(kind, zone, spot)
+                count -= self._fill(lack.spec, count, [new])
+                fresh.append(new)
+        return [
+            Wish(t, z, s, min(_MOST_HIRED, number - done))
+            for (t, z, s), number in wanted.items()
+            for done in range(0, number, _MOST_HIRED)
+        ]
 
     def _cheapest(
-        self, rest: list[_Lack], lack: _Lack, wanted: Counter[tuple[str, str, bool]]
+        self,
+        rest: list[_Lack],
+        wanted: Counter[tuple[str, str, bool]],
+        fleet: Counter[tuple[str, str, bool]],
     ) -> tuple[MachineType, str, bool] | None:
         """The offer with the lowest price for each core that would be used."""
-        picture, spec = self.picture, lack.spec
+        picture, lack = self.picture, rest[0]
+        spec = lack.spec
         best: tuple[float, MachineType, str, bool] | None = None
-        fleet = Counter((m.type, m.zone, m.spot) for m in picture.mirror.fleet.values())
-        # Services stay for long and the rest goes: a machine is filled with one of the two.
-        alike = [o.spec for o in rest if (o.spec.kind == SERVICE) == (spec.kind == SERVICE)]
         for kind in picture.mirror.types.values():
             if not kind.fits(spec):
                 continue
-            cpus, memory, used = kind.cpus, kind.memory_gb, 0.0
-            for other in alike:
-                if other.cpus <= cpus + 1e-6 and other.memory_gb <= memory + 1e-6:
-                    cpus -= other.cpus
-                    memory -= other.memory_gb
-                    used += other.cpus
-                    if cpus < 1e-6:
-                        break
+            used = self._used(kind, rest)
             kinds = [True] * spec.spot + [False] * (lack.any_kind or not spec.spot)
             for spot in kinds:
                 price = kind.spot_price if spot else kind.price
@@ -289,16 +294,34 @@
                         best = cost, kind, zone, spot
         return best[1:] if best else None
 
+    @staticmethod
+    def _used(kind: MachineType, rest: list[_Lack]) -> float:
+        """How many cores of a new machine would be used."""
+        service = rest[0].spec.kind == SERVICE
+        cpus, memory, used = kind.cpus, kind.memory_gb, 0.0
+        for other in rest:
+            spec = other.spec
+            # Services stay for long and the rest goes: a machine is filled with one of the two.
+            if (spec.kind == SERVICE) != service:
+                continue
+            number = min(other.number, int((cpus + 1e-6) / spec.cpus))
+            if spec.memory_gb > 0:
+                number = min(number, int((memory + 1e-6) / spec.memory_gb))
+            cpus -= number * spec.cpus
+            memory -= number * spec.memory_gb
+            used += number * spec.cpus
+            if cpus < 1e-6:
+                break
+        return used
+
     def surplus(self, wall: float) -> list[str]:
         """Machines to drain: idle for long, sick, or silent."""
         picture = self.picture
         now = picture.now
         idle = []
-        for machine in picture.machines():
+        for machine in list(picture.machines()):
             room = picture.room(machine)
-            busy = machine in picture.mirror.on_machine or any(
-                True for _ in picture.gate.on_machine(machine)
-            )
+            busy = not picture.freed(machine) or any(True for _ in picture.gate.on_machine(machine))
             if room is None or busy or not room.usable:
                 self._idle_since.pop(machine, None)
                 continue
@@ -307,7 +330,7 @@
             keep_s = picture.settings.operator.idle_boots * boot_s
             if now - self._idle_since.setdefault(machine, now) >= keep_s:
                 idle.append(machine)
-        chosen = [m for m in idle if self._dispensable(m, wall)][:1]
+        chosen = self._dispensable(idle, wall)
         for machine in picture.machines():
             sight = picture.sight(machine)
             if sight is not None and sight.seen.errors >= SICK_ERRORS:
@@ -366,7 +389,7 @@
         limit = picture.settings.operator.silent_leases * self._lease_s
         for machine in picture.machines():
             sight = picture.sight(machine)
-            if sight is not None and sight.age_s <= limit:
+            if sight is not None and picture.age_s(sight) <= limit:
                 heard_lately.add(machine)
         for machine in self._came_up:
             record = picture.mirror.fleet.get(machine)
@@ -382,19 +405,30 @@
         record = self.picture.mirror.fleet.get(machine)
         return "unknown" if record is None else record.state
 
-    def _dispensable(self, machine: str, wall: float) -> bool:
-        """Whether the spare room is there without this machine."""
-        room = self.picture.room(machine)
-        if room is None:
-            return False
-        bins = self._bins(wall)
-        for found in bins:
-            if (found.type, found.zone, found.spot) == (room.type, room.zone, room.spot) and (
-                abs(found.cpus - room.cpus) < 1e-6
-            ):
-                bins.remove(found)
-                break
-        return not self._spares(bins)
+    def _dispensable(self, idle: list[str], wall: float) -> list[str]:
+        """Those of the idle machines without which the spare room is still there.
+
+        At most a tenth of the fleet at a time: what the next moments bring is not known.
+        """
+        picture = self.picture
+        if not idle:
+            return []
+        kept = []
+        for machine in idle:
+            room = picture.room(machine)
+            if room is not None:
+                kept.append((machine, self._bin(room)))
+        # The dearest go first; spares are put on what is in use anyway, then on the cheapest.
+        kept.sort(key=lambda item: (not item[1].spot, item[1].cpus, item[0]))
+        self._spares([*self._bins(wall, set(idle)), *(found for _, found in kept)])
+        whole = picture.mirror.types
+        free = [machine for machine, found in kept if found.cpus == whole[found.type].cpus]
+        return free[::-1][: max(1, len(picture.mirror.fleet) // 10)]
+
+    def _bin(self, room: Room) -> _Bin:
+        found = _Bin(self.picture.mirror.types[room.type], room.zone, room.spot)
+        found.cpus, found.gpus, found.memory_gb = room.cpus, room.gpus, room.memory_gb
+        return found
 
     def stuck(self, machine: ListedMachine) -> bool:
         """Whether a booting machine has taken so long that it will hardly come up."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -184,7 +184,7 @@
     delivery.new_term(1)
     for name, kind, zone in (("vm-1", "small", "north"), ("vm-2", "large", "south")):
         report = Report(name, f"{name}:1", kind, zone, False, 1, 1, 1, None, ())
-        delivery.heard(report, 0.0, direct=False)
+        picture.heard(delivery.heard(report, 0.0, direct=False).dialogue)
     return picture, Planner(picture, Random(1)), mirror, delivery
 
 
@@ -222,7 +222,8 @@
 def test_what_cannot_be_verified_fails_closed() -> None:
     picture, planner, mirror, delivery = scene()
     intents = planner.plan([accept(mirror, entries=1)], {})
-    delivery.machines.clear()
+    picture.now = 1000.0
+    picture.forget()
     picture.touch(intents[0].placement.machine)
     verdict = picture.gate.release(intents[0], picture)
     assert verdict.outcome is Outcome.BLOCK and verdict.reason == "allowed"
