--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -623,12 +623,14 @@
             gate = self.gate
             log.info(
                 "gate: %d premises checked (a full scan: %d), verdicts %s; "
-                "%d transactions committed, %d rejected, %d changes waiting",
+                "%d transactions committed (%s), %d rejected (%s), %d changes waiting",
                 gate.checked,
                 gate.full_scan,
                 dict(gate.verdicts),
                 self.committer.committed,
+                dict(self.committer.wrote),
                 self.committer.rejected,
+                dict(self.committer.refused_over),
                 self.committer.queued,
             )
 
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -8,6 +8,7 @@
 import re
 from collections import OrderedDict
 from collections.abc import Iterator
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 import msgspec
@@ -590,6 +591,7 @@
             yield job, task, job.live[task]
 
 
+@lru_cache(maxsize=FINALS_KEPT)
 def fleet_chunk(machine: str) -> int:
     """The chunk of the fleet record that a machine belongs to."""
     digits = "".join(c for c in machine if c.isdigit())
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -38,6 +38,8 @@
 # A machine on which so many different jobs failed in a row is not trusted with more.  One
 # job alone proves nothing: it may fail everywhere.
 SICK_ERRORS = 2
+# Jobs with pending starts at a time, in changes that one full commit may carry.
+_FULL_COMMITS = 2
 # What a task alone on its machine takes of its job's record, with holes in what is done.
 _ITEM_BYTES = 32
 
@@ -410,16 +412,19 @@
             cpus, gpus = spent.get(intent.spec.team, (0.0, 0.0))
             spent[intent.spec.team] = cpus + intent.spec.cpus, gpus + intent.spec.gpus
         admitted: list[Intent] = []
-        hopeless: set[tuple[object, ...]] = set()
+        # By likeness of tasks, the machines that had room for one: it only gets less.
+        able: dict[tuple[object, ...], dict[str, Room]] = {}
+        left = max(0, _FULL_COMMITS * picture.settings.platform.deployment.state.txn_ops)
+        left -= len(pending)
         for job in jobs:
-            # Where a like job found no room, the next one need not look.
+            if left <= 0:
+                break  # more than can be committed soon would only grow stale
             like = _likeness(job.spec)
-            if like in hopeless and job.id not in self.avoid:
+            if like in able and not able[like]:
                 continue
-            found, exhausted = self._place(job, rooms, pending.get(job.id, []), spent)
-            if exhausted and not (job.spec.one_zone or job.spec.spread or job.id in self.avoid):
-                hopeless.add(like)
+            found = self._place(job, rooms, able, pending.get(job.id, []), spent)
             if job.id in mine:
+                left -= bool(found)
                 for intent in found:
                     picture.gate.admit(intent, picture)
                 admitted += found
@@ -429,14 +434,15 @@
         self,
         job: Job,
         rooms: dict[str, Room],
+        able: dict[tuple[object, ...], dict[str, Room]],
         waiting: list[Intent],
         spent: dict[str, tuple[float, float]],
-    ) -> tuple[list[Intent], bool]:
-        """Places for waiting tasks of a job, and whether there was no room for one more."""
+    ) -> list[Intent]:
+        """Places for waiting tasks of a job."""
         picture, spec = self.picture, job.spec
         taken = {intent.placement.task for intent in waiting}
         if spec.kind == GANG and (job.live or taken):
-            return [], False
+            return []
         left_cpus, left_gpus = picture.team_left(spec.team)
         used_cpus, used_gpus = spent.get(spec.team, (0.0, 0.0))
         left_cpus, left_gpus = left_cpus - used_cpus, left_gpus - used_gpus
@@ -445,16 +451,23 @@
             most = min(most, int((left_gpus + 1e-6) / spec.gpus))
         if spec.kind == GANG:
             if most < job.waiting:
-                return [], False
+                return []
         else:
             most = min(most, self.most_live - len(job.live) - len(taken))
         tasks = list(islice((t for t in job.pending() if t not in taken), max(0, most)))
         if not tasks:
-            return [], False
+            return []
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
-        chosen = self._choose(spec, rooms, zones, len(tasks))
+        like = _likeness(spec)
+        known = able.get(like)
+        like_rooms = able[like] = (
+            {m: room for m, room in rooms.items() if allowed(spec, room) and _holds(room, spec)}
+            if known is None
+            else {m: rooms[m] for m in known if _holds(rooms[m], spec)}
+        )
+        chosen = self._choose(spec, like_rooms, zones, len(tasks))
         if not chosen or (spec.kind == GANG and len(chosen) < job.waiting):
-            return [], True
+            return []
         found = []
         for task, room in zip(tasks, chosen, strict=False):
             rooms[room.id] = _less(rooms[room.id], spec)
@@ -464,7 +477,7 @@
             used_cpus + len(found) * spec.cpus,
             used_gpus + len(found) * spec.gpus,
         )
-        return found, len(chosen) < len(tasks)
+        return found
 
     def preempt(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Victim]:
         """Running tasks of lower priority to stop for work that must start at once."""
@@ -579,11 +592,7 @@
 
         The sample is in proportion to the tasks, and grows until the fits are good.
         """
-        able = [
-            room
-            for room in rooms.values()
-            if allowed(spec, room) and fits(spec, room.cpus, room.gpus, room.memory_gb)
-        ]
+        able = [room for room in rooms.values() if allowed(spec, room) and _holds(room, spec)]
         shunned = self.avoid.get(spec.id)
         if shunned:
             able = [room for room in able if room.id not in shunned] or able
@@ -620,7 +629,7 @@
             chosen.append(room)
             there[room.zone] += 1
             room = _less(room, spec)
-            if fits(spec, room.cpus, room.gpus, room.memory_gb):
+            if _holds(room, spec):
                 heapq.heappush(heap, (self._cost(spec, room, there), index, room))
         return chosen
 
@@ -650,6 +659,10 @@
     return spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot
 
 
+def _holds(room: Room, spec: JobSpec) -> bool:
+    return fits(spec, room.cpus, room.gpus, room.memory_gb)
+
+
 def _less(room: Room, spec: JobSpec) -> Room:
     """What is left of a machine's room with one task more."""
     return room._replace(
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
+from sandladder.lifecycle import EPSILON
 from sandladder.model import (
     HIGH,
     PRODUCTION,
@@ -19,7 +20,7 @@
     MachineType,
     Team,
 )
-from sandladder.placement import SICK_ERRORS, Picture, allowed, fits, order_key
+from sandladder.placement import SICK_ERRORS, Picture, allowed, order_key
 from sandladder.premises import Room
 from sandladder.settings import TeamLimits
 
@@ -44,19 +45,24 @@
 class _Bin:
     """Room on a machine that is there, boots, or would be rented."""
 
-    __slots__ = ("type", "zone", "spot", "cpus", "gpus", "memory_gb")
+    __slots__ = ("offer", "cpus", "gpus", "memory_gb")
 
     def __init__(self, kind: MachineType, zone: str, spot: bool) -> None:
-        self.type, self.zone, self.spot = kind.name, zone, spot
+        self.offer = (kind.name, zone, spot)
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb
 
-    def take(self, spec: JobSpec) -> bool:
-        if not fits(spec, self.cpus, self.gpus, self.memory_gb):
-            return False
-        self.cpus -= spec.cpus
-        self.gpus -= spec.gpus
-        self.memory_gb -= spec.memory_gb
-        return True
+    def take(self, spec: JobSpec, most: int) -> int:
+        """Take in up to so many tasks; how many it were."""
+        number = min(most, int((self.cpus + EPSILON) / spec.cpus))
+        if spec.gpus > 0:
+            number = min(number, int((self.gpus + EPSILON) / spec.gpus))
+        if spec.memory_gb > 0:
+            number = min(number, int((self.memory_gb + EPSILON) / spec.memory_gb))
+        if number > 0:
+            self.cpus -= number * spec.cpus
+            self.gpus -= number * spec.gpus
+            self.memory_gb -= number * spec.memory_gb
+        return max(0, number)
 
 
 class _Lack(NamedTuple):
@@ -167,7 +173,7 @@
             if wall - record.since <= 2.5 * kind.boot_s:
                 self._capacity += kind.cpus
                 bins.append(_Bin(kind, record.zone, record.spot))
-        bins.sort(key=lambda b: (not b.spot, b.cpus))
+        bins.sort(key=lambda b: (not b.offer[2], b.cpus))
         return bins
 
     def _startable(self, job: Job, teams: dict[str, Team]) -> int:
@@ -185,13 +191,19 @@
     @staticmethod
     def _fill(spec: JobSpec, count: int, bins: list[_Bin]) -> int:
         """Put up to so many tasks into the bins; how many fit."""
-        placed = 0
+        left = count
+        suits: dict[tuple[str, str, bool], bool] = {}
         for found in bins:
-            while placed < count and allowed(spec, _as_machine(found)) and found.take(spec):
-                placed += 1
-            if placed == count:
+            if left <= 0:
                 break
-        return placed
+            if found.cpus + EPSILON < spec.cpus or found.memory_gb + EPSILON < spec.memory_gb:
+                continue
+            suited = suits.get(found.offer)
+            if suited is None:
+                suited = suits[found.offer] = allowed(spec, Machine(*found.offer, "up", 0.0))
+            if suited:
+                left -= found.take(spec, left)
+        return count - left
 
     def _allowance_s(self, spec: JobSpec) -> float:
         """How late the last task of a job may start, from its submission."""
@@ -419,10 +431,10 @@
             if room is not None:
                 kept.append((machine, self._bin(room)))
         # The dearest go first; spares are put on what is in use anyway, then on the cheapest.
-        kept.sort(key=lambda item: (not item[1].spot, item[1].cpus, item[0]))
+        kept.sort(key=lambda item: (not item[1].offer[2], item[1].cpus, item[0]))
         self._spares([*self._bins(wall, set(idle)), *(found for _, found in kept)])
         whole = picture.mirror.types
-        free = [machine for machine, found in kept if found.cpus == whole[found.type].cpus]
+        free = [machine for machine, found in kept if found.cpus == whole[found.offer[0]].cpus]
         return free[::-1][: max(1, len(picture.mirror.fleet) // 10)]
 
     def _bin(self, room: Room) -> _Bin:
@@ -434,7 +446,3 @@
         """Whether a booting machine has taken so long that it will hardly come up."""
         kind = self.picture.mirror.types.get(machine.type)
         return machine.state == "booting" and machine.age_s > 4 * (kind.boot_s if kind else 60.0)
-
-
-def _as_machine(found: _Bin) -> Machine:
-    return Machine(found.type, found.zone, found.spot, "up", 0.0)
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any, NamedTuple
@@ -288,6 +289,11 @@
         self._on_change(changed)
 
 
+def _kind(key: str) -> str:
+    """The kind of a key: its first two parts."""
+    return "/".join(key.split("/")[:2])
+
+
 class Change:
     """Something to be committed: evaluated on the current records each time it is tried."""
 
@@ -351,6 +357,9 @@
         self._share = 1.0  # of a full transaction; rejections shrink it
         self.committed = 0
         self.rejected = 0
+        # What was committed and what was rejected, by kind of key.
+        self.wrote: Counter[str] = Counter()
+        self.refused_over: Counter[str] = Counter()
 
     @property
     def queued(self) -> int:
@@ -443,6 +452,7 @@
             revision = await self._state.commit(body, len(changes))
         except Rejected as rejection:
             self.rejected += 1
+            self.refused_over.update(_kind(key) for key in rejection.failed)
             log.debug("rejected: %s over %s", [c.name for c in chosen], rejection)
             for change in chosen:
                 if change.final in rejection.failed:
@@ -471,6 +481,7 @@
             self._share = 0.1
         else:
             self.committed += 1
+            self.wrote.update(_kind(key) for key, _, _ in changes)
             for change in chosen:
                 if change.on_commit is not None:
                     change.on_commit()
