--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -1,7 +1,7 @@
 """The cloud: its client, and the duty of the one controller that rents and returns."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 import anyio
@@ -9,7 +9,14 @@
 from sandladder import wire
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View, change_fleet, put_types
-from sandladder.model import RENTER, ListedMachine, Machine, MachineType
+from sandladder.model import (
+    FLEET_ITEM_BYTES,
+    RENTER,
+    ListedMachine,
+    Machine,
+    MachineType,
+    machine_number,
+)
 from sandladder.provision import Provisioner, Wish
 from sandladder.settings import split_addr
 from sandladder.store import P_USER, P_WORK, Change, NoLease, Renewal, Unavailable
@@ -19,8 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-FleetChange = Callable[[dict[str, Machine]], set[str]]
-
 
 class CloudError(Exception):
     """The cloud gave no usable answer."""
@@ -90,6 +95,9 @@
         self._addrs: dict[str, str] = {}
         self._next_list = 0.0
         self._next_types = 0.0
+        self._news: dict[str, Machine | None] = {}  # of the fleet, to be written next
+        value_bytes = deployment.state.value_kb * 1024
+        self._chunk_size = max(1, int(0.9 * value_bytes / FLEET_ITEM_BYTES))
 
     async def run(self) -> None:
         """Learn the machine types; hold the duty when it is free, and carry it out."""
@@ -147,6 +155,7 @@
 
         await self._c.committer.add(Change("renter", P_WORK, 1, apply, leased=True)).wait()
         self._held = Renewal(lease, now + 0.95 * self._ttl_s)
+        self._news.clear()
         self._listed.clear()
         log.info("this controller rents now")
         return True
@@ -158,11 +167,13 @@
             await self._compare(await self._c.cloud.machines(), now, wall)
         await self._drain(wall)
         await self._return(wall)
+        await self._write()
         self._c.picture.now = anyio.current_time()
         # Asked for all at once: what else this duty sees to should not wait for refusals.
         async with anyio.create_task_group() as tasks:
             for wish in self._provision.wishes(self._c.wall()):
                 tasks.start_soon(self._rent, wish)
+        await self._write()
 
     async def _rent(self, wish: Wish) -> None:
         try:
@@ -191,22 +202,37 @@
             self._provision.refused(wish)
         if machines:
             record = Machine(wish.type, wish.zone, wish.spot, "rented", self._c.wall())
-            await self._set(dict.fromkeys(machines, record))
-
-    async def _set(self, records: dict[str, Machine]) -> None:
-        """Change machines' records; binds that the duty is still ours."""
-
-        def change(fleet: dict[str, Machine]) -> set[str]:
-            fleet.update(records)
-            return set(records)
-
-        await self._change(change)
-
-    async def _change(self, change: FleetChange) -> None:
-        await self._c.committer.add(
-            # Few and short; the room for others' work and proofs of loss wait for them.
-            Change("fleet", P_USER, 2, lambda view: change_fleet(view, change))
-        ).wait()
+            self._note(dict.fromkeys(machines, record))
+
+    def _note(self, records: Mapping[str, Machine | None]) -> None:
+        """Change machines' records with the next writing; None forgets a machine."""
+        self._news.update(records)
+
+    async def _write(self) -> None:
+        """Write what changed in one change; binds that the duty is still ours.
+
+        The store takes few changes: what a round of this duty learns goes together.
+        """
+        chunks = sorted({machine_number(machine) // self._chunk_size for machine in self._news})
+        most = max(1, self._c.settings.platform.deployment.state.txn_ops // 2)
+        chosen = set(chunks[:most])  # what one transaction can hold; the rest goes next time
+        news = {
+            m: r for m, r in self._news.items() if machine_number(m) // self._chunk_size in chosen
+        }
+        for machine in news:
+            del self._news[machine]
+        if news:
+            change = Change(
+                "fleet",
+                P_USER,  # the room for others' work and proofs of loss wait for it
+                len(chosen),
+                lambda view: change_fleet(view, news, self._chunk_size),
+            )
+            await self._c.committer.add(change).wait()
+
+    def _record(self, machine: str) -> Machine | None:
+        """A machine's record, with what is about to be written."""
+        return self._news.get(machine, self._c.mirror.fleet.get(machine))
 
     async def _compare(self, listed: list[ListedMachine], now: float, wall: float) -> None:
         """Adopt machines that are new to us and mark those that are gone."""
@@ -238,29 +264,26 @@
         for machine in stuck:
             log.info("machine %s does not come up", machine)
             news[machine] = fleet[machine]._replace(state="draining", since=wall)
-        if news:
-            await self._set(news)
+        self._note(news)
         failed = [item.id for item in listed if item.state == "failed"]
         if failed:
             await self._c.cloud.give_back(failed[:100])
-        await self._forget_gone(wall)
+        self._forget_gone(wall)
         self._addrs = {m: a for m, a in self._addrs.items() if m in self._listed}
         self._listed = {m: t for m, t in self._listed.items() if now - t < 10 * self._lag_s}
 
-    async def _forget_gone(self, wall: float) -> None:
-        def change(fleet: dict[str, Machine]) -> set[str]:
-            over = {
-                m
-                for m, record in fleet.items()
-                if record.state == "gone"
-                and m not in self._c.mirror.on_machine
-                and wall - record.since > 6 * self._lag_s
-            }
-            for machine in over:
-                del fleet[machine]
-            return over
-
-        await self._change(change)
+    def _forget_gone(self, wall: float) -> None:
+        mirror = self._c.mirror
+        over = [
+            machine
+            for machine, record in mirror.fleet.items()
+            if record.state == "gone"
+            and machine not in mirror.on_machine
+            and wall - record.since > 6 * self._lag_s
+        ]
+        # There is no hurry: they go along with other changes, or once they are many.
+        if self._news or len(over) > self._chunk_size / 4:
+            self._note(dict.fromkeys(over))
 
     async def _drain(self, wall: float) -> None:
         """Mark machines that are to be returned, so that nothing more is placed there."""
@@ -268,18 +291,20 @@
         chosen = {}
         for machine in self._provision.surplus(wall):
             room = self._c.picture.room(machine)
-            if room is not None:
+            known = self._record(machine)
+            if room is not None and (known is None or known.state == "rented"):
                 log.info("draining %s", machine)
                 chosen[machine] = Machine(room.type, room.zone, room.spot, "draining", wall)
         if self._c.loss.up_s(anyio.current_time()) > self._c.lease_s:
             doubtful = [
-                m for m in self._provision.silent(wall) if mirror.fleet[m].state == "rented"
+                m
+                for m in self._provision.silent(wall)
+                if (known := self._record(m)) is not None and known.state == "rented"
             ]
             for machine in await self._unreachable(doubtful):
                 log.info("machine %s is silent", machine)
                 chosen[machine] = mirror.fleet[machine]._replace(state="draining", since=wall)
-        if chosen:
-            await self._set(chosen)
+        self._note(chosen)
 
     async def _unreachable(self, machines: list[str]) -> list[str]:
         """Those of the machines that do not answer us either."""
@@ -313,4 +338,4 @@
             return
         await self._c.cloud.give_back(ready)
         log.info("returned %s", ready)
-        await self._set({m: mirror.fleet[m]._replace(state="gone", since=wall) for m in ready})
+        self._note({m: mirror.fleet[m]._replace(state="gone", since=wall) for m in ready})
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -116,7 +116,7 @@
         self.planner = Planner(self.picture, rng)
         host, port = split_addr(settings.platform.external.state)
         self.state = StateClient(
-            connect(host, port, keep=6), deployment.state, len(self.nodes), self.state_timeout_s
+            connect(host, port, keep=6), deployment.state, self.state_timeout_s
         )
         self.watch = Watch(self.state, self.mirror, len(self.nodes), self._changed, self._synced)
         self.committer = Committer(self.state, self.mirror, self.watch, rng, self._changed)
@@ -802,7 +802,21 @@
     # Peers
 
     def _beat(self) -> mesh.Beat:
-        return mesh.Beat(self.node, self.alive() and self._state_ok())
+        self._share_writes()
+        return mesh.Beat(self.node, self.alive() and self._state_ok(), self.committer.demand)
+
+    def _share_writes(self) -> None:
+        """Divide the store's write rate by what each controller has waiting."""
+        now = anyio.current_time()
+        least = self.settings.platform.deployment.state.txn_ops / 4
+        own = least + self.committer.demand
+        whole = own
+        for name, link in self.links.items():
+            if now - link.heard_at < 3 * self.beat_s:
+                whole += least + link.demand
+            elif name in self.mirror.nodes:
+                whole += own  # it lives and we do not hear it: it may need as much as we do
+        self.state.writes.share = own / whole
 
     def _poke(self, nodes: set[str]) -> None:
         for name in nodes & self.links.keys():
@@ -813,6 +827,7 @@
             link = self.links.get(message.node)
             if link is not None:
                 link.heard_at, link.state_ok = anyio.current_time(), message.state_ok
+                link.demand = message.demand
         elif isinstance(message, mesh.Poke):
             self.watch.poke()
         elif isinstance(message, mesh.Ask):
--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -5,7 +5,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import msgspec
@@ -31,7 +31,8 @@
     Mirror,
     Summary,
     Team,
-    fleet_chunk,
+    fleet_value,
+    machine_number,
     pack_summary,
 )
 from sandladder.settings import TeamLimits
@@ -268,19 +269,31 @@
     view.put(TYPES, msgspec.to_builtins(types), view.mirror.version(TYPES))
 
 
-def change_fleet(view: View, change: Callable[[dict[str, Machine]], set[str]]) -> bool:
-    """Let the renter change the fleet record; binds that it still is the renter."""
+def change_fleet(view: View, news: dict[str, Machine | None], chunk_size: int) -> bool:
+    """Let the renter change the fleet records, None to forget a machine.
+
+    Binds that it still is the renter.
+    """
     # Several changes may share a transaction: each goes on from what the last one left.
-    fleet = dict(view.mirror.fleet if view.fleet is None else view.fleet)
-    touched = change(fleet)
-    if not touched:
+    before = view.mirror.fleet if view.fleet is None else view.fleet
+    news = {m: record for m, record in news.items() if before.get(m) != record}
+    if not news:
         return False
-    view.fleet = fleet
+    fleet = view.fleet = dict(before)
+    for machine, record in news.items():
+        if record is None:
+            fleet.pop(machine, None)
+        else:
+            fleet[machine] = record
     view.guards[RENTER] = view.mirror.version(RENTER)
-    for chunk in {fleet_chunk(machine) for machine in touched}:
-        members = {m: list(r) for m, r in sorted(fleet.items()) if fleet_chunk(m) == chunk}
+    chunks: dict[int, dict[str, Machine]] = {machine_number(m) // chunk_size: {} for m in news}
+    for machine, kept in fleet.items():
+        members = chunks.get(machine_number(machine) // chunk_size)
+        if members is not None:
+            members[machine] = kept
+    for chunk, members in chunks.items():
         key = f"{FLEET}{chunk}"
-        view.put(key, members, view.mirror.version(key))
+        view.put(key, fleet_value(members) if members else None, view.mirror.version(key))
     return True
 
 
--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -24,10 +24,14 @@
 
 
 class Beat(msgspec.Struct, tag="beat", array_like=True):
-    """A sign of life; `state_ok` says that the sender reaches the state service."""
+    """A sign of life; `state_ok` says that the sender reaches the state service.
+
+    `demand` is how many changes it has waiting for the store.
+    """
 
     node: str
     state_ok: bool
+    demand: int = 0
 
 
 class Poke(msgspec.Struct, tag="poke", array_like=True):
@@ -97,6 +101,7 @@
         self.refused = False
         self.heard_at = float("-inf")
         self.state_ok = False
+        self.demand = 0
 
     def send(self, message: Message) -> None:
         """Queue a hint; when the queue is full the oldest is dropped."""
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -8,7 +8,6 @@
 import re
 from collections import OrderedDict
 from collections.abc import Iterator
-from functools import lru_cache
 from typing import Any, NamedTuple
 
 import msgspec
@@ -22,7 +21,6 @@
 TERM, RENTER, TYPES = "s/term", "s/renter", "s/types"
 # What a controller reads at its start: all but the finished jobs.
 PREFIXES = (JOB, NODE, "s/r", "s/t", FLEET)
-FLEET_CHUNK = 100
 FINALS_KEPT = 4096
 
 
@@ -441,6 +439,7 @@
         self.teams: dict[str, Team] = {}
         self.nodes: dict[str, Summary] = {}
         self.fleet: dict[str, Machine] = {}
+        self.chunks: dict[int, list[str]] = {}  # the machines of each fleet record
         self.renter: str | None = None
         self.term = 0
         self.types: dict[str, MachineType] = {}
@@ -523,11 +522,12 @@
             node, _, part = key[len(NODE) :].partition("/")
             self._set_part(node, int(part or 0), value)
         elif key.startswith(FLEET):
-            chunk = int(name)
-            for machine in [m for m in self.fleet if fleet_chunk(m) == chunk]:
+            for machine in self.chunks.pop(int(name), ()):
                 del self.fleet[machine]
-            for machine, raw in (value or {}).items():
-                self.fleet[machine] = Machine(*raw)
+            if value is not None:
+                found = read_fleet(value)
+                self.fleet.update(found)
+                self.chunks[int(name)] = list(found)
         elif key == TERM:
             self.term = int(value or 0)
         elif key == RENTER:
@@ -591,8 +591,36 @@
             yield job, task, job.live[task]
 
 
-@lru_cache(maxsize=FINALS_KEPT)
-def fleet_chunk(machine: str) -> int:
-    """The chunk of the fleet record that a machine belongs to."""
-    digits = "".join(c for c in machine if c.isdigit())
-    return int(digits or 0) // FLEET_CHUNK
+_FLEET_STATES = ("rented", "draining", "gone")
+# What a machine takes in a fleet record: its name, kind, state and time of day.
+FLEET_ITEM_BYTES = 32
+
+
+def fleet_value(fleet: dict[str, Machine]) -> dict[str, Any]:
+    """The record of some machines, with a table of what many have in common."""
+    kinds: dict[tuple[str, str, bool], int] = {}
+    rows = [
+        [
+            short_name(name),
+            kinds.setdefault((m.type, m.zone, m.spot), len(kinds)),
+            _FLEET_STATES.index(m.state),
+            round(m.since),
+        ]
+        for name, m in sorted(fleet.items())
+    ]
+    return {"k": [list(kind) for kind in kinds], "m": rows}
+
+
+def read_fleet(value: dict[str, Any]) -> dict[str, Machine]:
+    """Machines from their record."""
+    found = {}
+    for name, place, state, since in value["m"]:
+        kind, zone, spot = value["k"][place]
+        found[long_name(name)] = Machine(kind, zone, spot, _FLEET_STATES[state], since)
+    return found
+
+
+def machine_number(machine: str) -> int:
+    """What orders machines in the fleet records: the digits of their names."""
+    short = short_name(machine)
+    return short if isinstance(short, int) else int("".join(filter(str.isdigit, short)) or 0)
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -68,18 +68,26 @@
 class Budget:
     """Our share of a rate limit that all controllers use.
 
-    It starts at nearly the whole, which is ours while the others need little.  Refusals
-    shrink it to an equal share at least, successes let it grow again.
+    The share follows what each of them has to do (see `Controller._share_writes`), so that
+    together they stay within the limit: where all try and are refused, small requests always
+    find room and large ones never.  Refusals shrink it further, successes let it grow again.
     """
 
-    def __init__(self, whole: float, nodes: int) -> None:
-        self._least = whole / nodes
-        self._most = 0.9 * whole
-        self._burst = 0.7 * whole
-        self.rate = self._most
+    def __init__(self, whole: float) -> None:
+        self._whole = 0.95 * whole
+        self.share = 1.0
+        self._trust = 1.0
         self._tokens = self._burst
         self._at = anyio.current_time()
 
+    @property
+    def rate(self) -> float:
+        return self._whole * self.share * self._trust
+
+    @property
+    def _burst(self) -> float:
+        return 0.7 * self._whole * self.share
+
     def _refill(self) -> None:
         now = anyio.current_time()
         self._tokens = min(self._burst, self._tokens + (now - self._at) * self.rate)
@@ -97,22 +105,22 @@
         self._tokens -= amount
 
     def allowed(self) -> None:
-        self.rate = min(self._most, self.rate * 1.03)
+        self._trust = min(1.0, self._trust * 1.05)
 
     def refused(self) -> None:
-        self.rate = max(self._least, self.rate * 0.8)
+        self._trust = max(0.3, self._trust * 0.8)
         self._tokens = min(self._tokens, 0.0)
 
 
 class StateClient:
     """Requests to the state service."""
 
-    def __init__(self, client: Requester, limits: State, nodes: int, timeout: float) -> None:
+    def __init__(self, client: Requester, limits: State, timeout: float) -> None:
         self._client = client
         self._timeout = timeout
         self.limits = limits
-        self.writes = Budget(limits.write_rps, nodes)
-        self.requests = Budget(limits.rps, nodes)
+        self.writes = Budget(limits.write_rps)
+        self.requests = Budget(limits.rps)
         self.ok_at = float("-inf")  # when it last answered
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
@@ -365,6 +373,11 @@
     def queued(self) -> int:
         return len(self._queue)
 
+    @property
+    def demand(self) -> int:
+        """How many puts and deletes wait at most."""
+        return sum(change.cost for change in self._queue)
+
     @property
     def full(self) -> bool:
         """Whether new work of users should be turned away."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -125,14 +125,14 @@
     mirror = Mirror()
     view = View(mirror)
 
-    def add(name: str):
-        def change(fleet: dict[str, Machine]) -> set[str]:
-            fleet[name] = Machine("small", "north", False, "rented", 0.0)
-            return {name}
-
-        return change
-
-    assert change_fleet(view, add("vm-000001")) and change_fleet(view, add("vm-000002"))
+    record = Machine("small", "north", False, "rented", 0.0)
+    assert change_fleet(view, {"vm-000001": record}, 100)
+    assert change_fleet(view, {"vm-000002": record, "vm-000204": record}, 100)
+    assert not change_fleet(view, {"vm-000002": record, "vm-000009": None}, 100)
+    commit(mirror, view)
+    assert set(mirror.fleet) == {"vm-000001", "vm-000002", "vm-000204"}
+    view = View(mirror)
+    assert change_fleet(view, {"vm-000204": None}, 100)
     commit(mirror, view)
     assert set(mirror.fleet) == {"vm-000001", "vm-000002"}
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -188,6 +188,7 @@
         self.refused = False
         self.heard_at = float("-inf")
         self.state_ok = False
+        self.demand = 0
 
     def send(self, message: Any) -> None:
         async def carry() -> None:
