--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -107,9 +107,14 @@
     def allowed(self) -> None:
         self._trust = min(1.0, self._trust * 1.05)
 
-    def refused(self) -> None:
-        self._trust = max(0.3, self._trust * 0.8)
-        self._tokens = min(self._tokens, 0.0)
+    def refused(self, amount: float) -> None:
+        """It was over the limit: nothing was spent, but others are spending.
+
+        Seen in a measured day: halving on each refusal left three quarters of the limit
+        unused, for two controllers that meet by chance are no sign of too high a rate.
+        """
+        self._trust = max(0.7, self._trust * 0.95)
+        self._tokens = min(self._tokens + amount, 0.0)
 
 
 class StateClient:
@@ -127,7 +132,7 @@
         self.requests.spend(1)
         answer = await self._client.request(method, target, body, timeout=self._timeout)
         if answer.status == 429:
-            self.requests.refused()
+            self.requests.refused(1)
             raise Unavailable("over the rate limit")
         if answer.status >= 500:
             raise Unavailable(f"status {answer.status}")
@@ -183,7 +188,7 @@
         except HttpError as error:
             raise UnknownOutcome(str(error)) from None
         if answer.status == 429:
-            self.writes.refused()
+            self.writes.refused(changes)
             raise Unavailable("over the rate limit")
         if answer.status == 503:
             raise Unavailable("status 503")
@@ -427,7 +432,9 @@
 
     def _gather(self, last: float) -> tuple[View, list[Change]]:
         """Evaluate changes of a priority up to `last` while they fit one transaction."""
-        most = max(4, int(self._state.limits.txn_ops * self._share))
+        # Where controllers spend their shares in large pieces, they meet and are refused.
+        piece = self._state.limits.write_rps * self._state.writes.share
+        most = max(4, int(min(self._state.limits.txn_ops * self._share, piece)))
         view = View(self._mirror)
         chosen: list[Change] = []
         for change in list(self._queue):
