--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -319,6 +319,7 @@
         *,
         final: str = "",
         leased: bool = False,
+        adds: Callable[[View], int] | None = None,
         on_commit: Callable[[], None] | None = None,
     ) -> None:
         self.name = name
@@ -327,6 +328,7 @@
         self.apply = apply  # False: nothing to do any more
         self.final = final  # a key whose existence settles the matter
         self.leased = leased  # it puts a key under a lease
+        self.adds = adds or (lambda view: cost)  # what it adds at most to what is in already
         self.on_commit = on_commit  # called once it is committed, before the news is passed on
         self.finished = anyio.Event()
         self.error: Exception | None = None
@@ -433,7 +435,7 @@
     def _gather(self, last: float) -> tuple[View, list[Change]]:
         """Evaluate changes of a priority up to `last` while they fit one transaction."""
         # Where controllers spend their shares in large pieces, they meet and are refused.
-        piece = self._state.limits.write_rps * self._state.writes.share
+        piece = 1.5 * self._state.limits.write_rps * self._state.writes.share
         most = max(4, int(min(self._state.limits.txn_ops * self._share, piece)))
         view = View(self._mirror)
         chosen: list[Change] = []
@@ -441,7 +443,7 @@
             if change.priority > last:
                 break
             if chosen and (
-                view.size + change.cost > most
+                view.size + change.adds(view) > most
                 or len(view.guards) + 2 * change.cost > 4 * self._state.limits.txn_ops
             ):
                 break
