--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from itertools import islice
@@ -369,12 +370,7 @@
         self.rng = rng
         self.avoid: dict[str, set[str]] = {}  # by job, the machines it failed on
         self._claims: dict[tuple[str, int], float] = {}  # stops are under way for these
-        deployment = picture.settings.platform.deployment
-        self.waits = {
-            o.cls: o.within_s
-            for o in deployment.objectives
-            if o.kind == "wait" and o.cls is not None and o.within_s is not None
-        }
+        self.waits = picture.settings.waits
         value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
         # A job's record holds an item for each batch of starts on a machine; what is live
         # at a time is bounded such that the record stays within the store's limit.
@@ -641,6 +637,9 @@
         kind = self.picture.mirror.types[room.type]
         cost = self.picture.fetch_s(spec, room)
         run_s = self._run_s(spec)
+        if cost > 0.5 * self.waits.get(spec.cls, math.inf):
+            # The fetch alone would spend the time within which the task should start.
+            cost += 2 * run_s
         if spec.spot and not room.spot:
             # Ordinary machines are dearer, and work that may not use others needs them.
             cost += 0.5 * run_s
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -90,11 +90,7 @@
         self._capacity = 0.0  # cores of all machines that can be counted on
         self._came_up: set[str] = set()  # machines that have reported
         # Classes whose aim for the start is shorter than machines take to boot.
-        self._waits = {
-            o.cls: o.within_s
-            for o in deployment.objectives
-            if o.kind == "wait" and o.cls is not None and o.within_s is not None
-        }
+        self._waits = picture.settings.waits
 
     def refused(self, wish: Wish) -> None:
         """The cloud had no capacity for this: ask again only later."""
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -140,6 +140,15 @@
     def node(self) -> str:
         return self.platform.node_name
 
+    @property
+    def waits(self) -> dict[str, float]:
+        """By class, the shortest time within which its tasks should start."""
+        found: dict[str, float] = {}
+        for aim in self.platform.deployment.objectives:
+            if aim.kind == "wait" and aim.cls is not None and aim.within_s is not None:
+                found[aim.cls] = min(aim.within_s, found.get(aim.cls, aim.within_s))
+        return found
+
     @property
     def node_names(self) -> list[str]:
         return sorted([self.node, *(peer.node_name for peer in self.platform.peers)])
