--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -26,6 +26,8 @@
 
 # Shares of the time that work may wait, past which spot or any machines are rented for it.
 _PRESSING_SPOT, _PRESSING_SOON, _PRESSING_ANY = 0.1, 0.4, 0.75
+# How many jobs of a class are remembered.
+_REMEMBERED = 32
 # How many machines one request to the cloud may ask for.
 _MOST_HIRED = 50
 # A machine is given up when less than this share of it is used, and what uses it would cost
@@ -83,7 +85,7 @@
         self._report_s = deployment.workers.report_s
         self._refused: dict[tuple[str, str, bool], float] = {}
         self._idle_since: dict[str, float] = {}
-        self._sizes: dict[str, list[JobSpec]] = {}
+        self._sizes: dict[str, deque[tuple[float, JobSpec]]] = {}
         self._known: set[str] = set()
         self._pressed = False  # some work lacks room
         self._wasteful_since: dict[str, float] = {}
@@ -97,13 +99,13 @@
         self._refused[wish.type, wish.zone, wish.spot] = self.picture.now + self._lease_s
 
     def learn(self) -> None:
-        """Remember what recent jobs of each class looked like."""
+        """Remember what recent jobs of each class looked like, and how often they came."""
         jobs = self.picture.mirror.jobs
+        now = self.picture.now
         for job_id in jobs.keys() - self._known:
             spec = jobs[job_id].spec
-            recent = self._sizes.setdefault(spec.cls, [])
-            recent.append(spec)
-            del recent[:-12]
+            recent = self._sizes.setdefault(spec.cls, deque(maxlen=_REMEMBERED))
+            recent.append((now, spec))
         self._known = set(jobs)
 
     def wishes(self, wall: float) -> list[Wish]:
@@ -232,12 +234,14 @@
             within = self._waits.get(cls)
             if within is None or within > 2 * self._lease_s:
                 continue
-            spec = recent[-1]
-            sizes = sorted(s.tasks for s in recent)
+            spec = recent[-1][1]
+            sizes = sorted(spec.tasks for _, spec in recent)
             ratio = self.picture.settings.operator.spare_jobs
             boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
-            if within < min(boots, default=0.0):
-                count = sizes[len(sizes) * 3 // 4]  # larger than most
+            boot_s = min(boots, default=0.0)
+            if within < boot_s:
+                # Larger than most, and as much as arrivals vary while a machine boots.
+                count = max(sizes[len(sizes) * 3 // 4], self._swing(recent, boot_s))
             else:
                 # A machine may boot in time; this is for the days on which it does not.
                 count = sizes[len(sizes) // 2]
@@ -248,6 +252,15 @@
                 lacking.append((spec, missing))
         return lacking
 
+    def _swing(self, recent: deque[tuple[float, JobSpec]], horizon_s: float) -> int:
+        """The standard deviation of the tasks that arrive in so long a time."""
+        # Jobs that were there when we came did not arrive just then.
+        arrived = [(at, spec) for at, spec in recent if at > recent[0][0]]
+        if len(arrived) < 2:
+            return 0
+        span_s = max(horizon_s, self.picture.now - recent[0][0])
+        return round(math.sqrt(horizon_s / span_s * sum(spec.tasks**2 for _, spec in arrived)))
+
     def _rent(self, lacking: list[_Lack]) -> list[Wish]:
         wanted: Counter[tuple[str, str, bool]] = Counter()
         fresh: list[_Bin] = []
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 import contextlib
 from random import Random
 
+import anyio
 import cbor2
 import msgspec
 import pytest
@@ -23,6 +24,7 @@
 )
 from sandladder.model import (
     JOB,
+    NODE,
     TEAM,
     Attempt,
     Entry,
@@ -34,10 +36,12 @@
     Report,
     Seen,
     Summary,
+    pack_summary,
 )
 from sandladder.placement import Picture, Planner
 from sandladder.premises import Gate, Intent, Outcome
-from sandladder.settings import TeamLimits
+from sandladder.settings import Objective, Settings, TeamLimits
+from sandladder.store import Budget
 from world import job, settings
 
 LIMITS = TeamLimits("red", 16.0, 48.0, 2.0, 4.0)
@@ -171,7 +175,7 @@
             wire.parse_job(cbor2.dumps({k: v for k, v in job(1).items() if k != field}))
 
 
-def scene() -> tuple[Picture, Planner, Mirror, Delivery]:
+def scene(value_kb: float = 8.0) -> tuple[Picture, Planner, Mirror, Delivery]:
     """A controller's picture with two machines that report to it."""
     mirror, delivery, gate = Mirror(), Delivery(), Gate()
     for name in ("small", "large"):
@@ -180,7 +184,11 @@
             name, size, 0.0, 4 * size, 20.0, 1.0, 0.2, 0.1, 9.0, ("north", "south")
         )
     loss = LossProof("node-0", ["node-0"], 12.0, 0.0)
-    picture = Picture(settings(0, 1), mirror, delivery, loss, gate)
+    known = settings(0, 1)
+    state = msgspec.structs.replace(known.platform.deployment.state, value_kb=value_kb)
+    deployment = msgspec.structs.replace(known.platform.deployment, state=state)
+    platform = msgspec.structs.replace(known.platform, deployment=deployment)
+    picture = Picture(Settings(platform), mirror, delivery, loss, gate)
     delivery.new_term(1)
     for name, kind, zone in (("vm-1", "small", "north"), ("vm-2", "large", "south")):
         report = Report(name, f"{name}:1", kind, zone, False, 1, 1, 1, None, ())
@@ -373,3 +381,142 @@
     dialogue = delivery.heard(report, 0.0, direct=False).dialogue
     attempt = Attempt("vm-1", "north", 1, 1)
     assert delivery.ends(dialogue, mirror) == [Ended("job-000001", 0, attempt, "lost")]
+
+
+def summary(machines: int, images: int = 4, part: str = "vm-") -> Summary:
+    seen = {}
+    for number in range(machines):
+        names = tuple(f"img-{(number + i) % 31}" for i in range(images))
+        odd = number % 9 == 0
+        seen[f"{part}{number:06d}"] = Seen(
+            "small" if number % 3 else "large",
+            "north" if number % 2 else "south",
+            bool(number % 5),
+            1 + odd,
+            number % 40 / 10,
+            12.5 if odd else None,
+            number % 2 if odd else 0,
+            names,
+        )
+    return Summary(7, 99.5, 1234567, seen)
+
+
+@pytest.mark.parametrize("machines", [0, 1, 160, 500, 2000])
+@pytest.mark.parametrize("part", ["vm-", "machine-of-another-kind-"])
+def test_a_summary_of_any_size_fits_the_store_and_survives_it(machines: int, part: str) -> None:
+    """Past the store's limit on values it was refused, and others placed by old ones."""
+    limit = 8 * 1024
+    before = summary(machines, part=part)
+    values = cbor2.loads(cbor2.dumps(pack_summary(before, limit)))
+    assert all(len(msgspec.json.encode(value)) <= limit for value in values)
+    assert (len(values) == 1) == (machines <= 500 and (part == "vm-" or machines <= 160))
+    mirror = Mirror()
+    items = [(f"{NODE}a" + (f"/{i}" if i else ""), v, 5) for i, v in enumerate(values)]
+    mirror.apply(5, items[::-1])
+    after = mirror.nodes["a"]
+    assert after[:3] == before[:3] and after.machines.keys() == before.machines.keys()
+    for name, seen in after.machines.items():
+        known = before.machines[name]
+        assert seen[:4] == known[:4] and seen[5:7] == known[5:7]
+        assert known.age_s - 0.1 <= seen.age_s <= known.age_s
+        assert seen.images == known.images[len(known.images) - len(seen.images) :]
+
+
+def test_a_summary_of_which_a_part_is_missing_changes_nothing() -> None:
+    mirror = Mirror()
+    old = pack_summary(summary(1500), 8192)
+    mirror.apply(5, [(f"{NODE}a" + (f"/{i}" if i else ""), v, 5) for i, v in enumerate(old)])
+    known = mirror.nodes["a"]
+    new = pack_summary(summary(1600)._replace(revision=2000000), 8192)
+    mirror.apply(6, [(f"{NODE}a", new[0], 6)])
+    assert mirror.nodes["a"] is known
+    mirror.apply(7, [(f"{NODE}a/{i}", v, 7) for i, v in enumerate(new) if i])
+    assert len(mirror.nodes["a"].machines) == 1600
+
+
+@pytest.mark.parametrize("value_kb", [8.0, 16.0])
+def test_a_job_live_up_to_its_bound_fits_the_store(value_kb: float) -> None:
+    """Each task alone on its machine, in as many batches, and every other one done."""
+    picture, planner, mirror, _ = scene(value_kb)
+    assert planner.most_live >= (150 if value_kb == 8.0 else 350)
+    found = Job(spec(entries=100_000), 1e9)
+    for number in range(planner.most_live):
+        found.live[2 * number] = Attempt(f"vm-{number:06d}", "north", 1, 1)
+        found.done.add(2 * number + 1)
+    assert len(msgspec.json.encode(found.record())) <= value_kb * 1024
+
+
+def test_only_what_changed_of_a_job_is_touched() -> None:
+    mirror = Mirror()
+    found = accept(mirror, entries=40)
+    limits = LIMITS.__class__("red", 0.0, 1e6)
+    for first in (0, 20):
+        view = View(mirror)
+        places = [Placement(t, f"vm-{t:06d}", "north", 1) for t in range(first, first + 20)]
+        start(view, found.id, places, limits)
+        mirror.touched.clear()
+        mirror.begun.clear()
+        commit(mirror, view)
+        assert mirror.touched == {f"vm-{t:06d}" for t in range(first, first + 20)}
+        assert mirror.begun == {(found.id, t) for t in range(first, first + 20)}
+
+
+def test_room_of_a_proved_end_is_free_before_it_is_committed() -> None:
+    picture, planner, mirror, _ = scene()
+    found = accept(mirror, entries=2)
+    view = View(mirror)
+    start(view, found.id, [Placement(0, "vm-1", "north", 1)], LIMITS)
+    commit(mirror, view)
+    picture.touch("vm-1")
+    before = picture.room("vm-1")
+    attempt = mirror.jobs[found.id].live[0]
+    ended = Ended(found.id, 0, attempt, "done")
+    picture.note_over(ended)
+    after = picture.room("vm-1")
+    assert before and after and after.cpus == before.cpus + found.spec.cpus
+    assert picture.freed("vm-1")
+    view = View(mirror)
+    assert end(view, [ended])
+    commit(mirror, view)
+    picture.touch("vm-1")
+    picture.forget()
+    again = picture.room("vm-1")
+    assert again and again.cpus == after.cpus and not picture.over
+
+
+def test_the_shortest_wait_of_a_class_counts() -> None:
+    """A class may have two aims for its start; the later one hid the tighter one."""
+    known = settings(0, 1)
+    aims = [
+        Objective("wait", "web", 2.0),
+        Objective("wait", "web", 12.0),
+        Objective("never heard of", "web", 1.0),
+    ]
+    deployment = msgspec.structs.replace(known.platform.deployment, objectives=aims)
+    platform = msgspec.structs.replace(known.platform, deployment=deployment)
+    assert Settings(platform).waits == {"web": 2.0}
+
+
+def test_refusals_leave_most_of_the_write_rate() -> None:
+    """Seen in a measured day: chance meetings of two controllers shrank it to a third."""
+
+    async def body() -> None:
+        budget = Budget(15.0)
+        for _ in range(50):
+            budget.spend(6)
+            budget.refused(6)
+        assert budget.rate >= 0.6 * 15.0
+        budget.share = 0.1
+        assert budget.rate <= 1.5
+
+    anyio.run(body)
+
+
+def test_small_jobs_are_placed_in_spread_and_one_zone() -> None:
+    picture, planner, mirror, _ = scene()
+    spread = accept(mirror, number=1, entries=4, apart=True)
+    zones = [i.placement.zone for i in planner.plan([spread], {})]
+    assert sorted(zones) == ["north", "north", "south", "south"]
+    together = accept(mirror, number=2, entries=5, same_place=True, form="group")
+    zones = [i.placement.zone for i in planner.plan([together], {})]
+    assert zones == ["south"] * 5
