--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -143,7 +143,7 @@
                 self._held = Renewal(self._held.lease, now + 0.95 * self._ttl_s)
             return anyio.current_time() < self._held.until
         # A past life of ours may have left its mark; nobody else's is touched.
-        if self._c.mirror.renter not in (None, self._c.node) or not self._c.alive():
+        if self._c.mirror.renter not in (None, self._c.node) or not self._c.hold.alive():
             return False
         lease = await self._c.state.hold(self._ttl_s)
 
--- /dev/null
+++ b/src/sandladder/hold.py
@@ -0,0 +1,169 @@
+"""The hold on the state service, the term that comes with it, and the room summary under it."""
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder import wire
+from sandladder.lifecycle import (
+    Refused,
+    View,
+    put_summary,
+)
+from sandladder.model import (
+    TERM,
+    Seen,
+    Summary,
+)
+from sandladder.store import (
+    P_HOLD,
+    P_USER,
+    Change,
+    NoLease,
+    Renewal,
+    Signal,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+
+class Hold:
+    """Keeps this controller's hold, and tells whether it surely lasts."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        deployment = controller.settings.platform.deployment
+        self._hold_s = controller.settings.operator.hold_leases * controller.lease_s
+        # Room for the key and the braces around a value.
+        self._value_bytes = deployment.state.value_kb * 1024 * 0.95
+        self._renewal: Renewal | None = None
+        self._present = False  # our summary is in the store under the current lease
+        self._term_lock = anyio.Lock()
+        self._due = Signal()
+
+    def alive(self) -> bool:
+        """Whether our own hold surely lasts: only then do we answer workers or act."""
+        renewal = self._renewal
+        return self._present and renewal is not None and anyio.current_time() < renewal.until
+
+    def _until(self, sent: float) -> float:
+        # Counted from when the request was sent; clocks drift apart.
+        return sent + self._hold_s * 0.998 - 0.05
+
+    async def run(self) -> None:
+        while True:
+            try:
+                if self._renewal is None or not self._present:
+                    await self._enter()
+                else:
+                    sent = anyio.current_time()
+                    await self._c.state.renew(self._renewal.lease)
+                    self._renewal = Renewal(self._renewal.lease, self._until(sent))
+            except NoLease:
+                log.warning("the hold has ended")
+                self._renewal, self._present = None, False
+                continue
+            except (Unavailable, wire.Malformed) as error:
+                log.debug("the hold cannot be renewed: %s", error)
+                await anyio.sleep(self._c.report_s / 10)
+                continue
+            await self._due.wait(self._hold_s / 8)
+
+    async def _enter(self) -> None:
+        """Get a hold, a term, and the presence that the other controllers see."""
+        renewal = self._renewal
+        if renewal is None or anyio.current_time() >= renewal.until:
+            sent = anyio.current_time()
+            lease = await self._c.state.hold(self._hold_s)
+            renewal = Renewal(lease, self._until(sent))
+        # While the records are read the hold may end, and only a renewal would tell.
+        await self._c.watch.barrier()
+        await self._take_term(renewal.lease)
+        self._renewal, self._present = renewal, True
+        log.info("entered with term %d", self._c.delivery.term)
+
+    async def _take_term(self, lease: int, above: int = 0) -> None:
+        """Increase the one counter of terms; the number is ours alone."""
+        taken = 0
+
+        def apply(view: View) -> bool:
+            nonlocal taken
+            taken = max(self._c.mirror.term, above) + 1
+            view.put(TERM, taken, self._c.mirror.version(TERM))
+            self._put_summary(view, taken, lease)
+            return True
+
+        change = self._c.committer.add(Change("term", P_HOLD, 2, apply, leased=True))
+        await change.wait()
+        self._c.delivery.new_term(taken)
+
+    async def rise_above(self, token: int) -> bool:
+        """Take a term above a worker's token, because the worker has come to us."""
+        async with self._term_lock:
+            if self._c.delivery.term >= token:
+                return True
+            try:
+                with anyio.fail_after(self._c.report_s):
+                    await self._c.watch.barrier()
+                    if self._renewal is None:
+                        return False
+                    await self._take_term(self._renewal.lease, token)
+            except (TimeoutError, NoLease, Refused):
+                return False
+            return True
+
+    def _put_summary(self, view: View, term: int, lease: int) -> None:
+        put_summary(view, self._c.node, self._summary(term), lease, self._value_bytes)
+
+    def _summary(self, term: int) -> Summary:
+        now = anyio.current_time()
+        self._c.picture.now = now
+        machines = {}
+        for machine in self._c.loss.machines():
+            age = self._c.loss.age(machine, now)
+            dialogue = self._c.delivery.machines.get(machine)
+            if age is None or dialogue is None:
+                continue
+            report = dialogue.report
+            notice = dialogue.notice_at
+            machines[machine] = Seen(
+                type=report.type,
+                zone=report.zone,
+                spot=report.spot,
+                session=report.session,
+                age_s=round(age, 2),
+                notice_s=None if notice is None else round(notice - now, 1),
+                errors=len(dialogue.failed),
+                images=tuple(self._c.picture.images.names(machine, report.session)[-4:]),
+            )
+        return Summary(term, round(self._c.loss.up_s(now), 2), self._c.mirror.revision, machines)
+
+    async def summarise(self) -> None:
+        """Write the room summary every few seconds."""
+        period = self._c.picture.summary_s
+        while True:
+            await anyio.sleep(period)
+            if not self.alive() or self._renewal is None:
+                await anyio.sleep(self._c.report_s / 6)
+                continue
+            lease = self._renewal.lease
+
+            def apply(view: View, lease: int = lease) -> bool:
+                self._put_summary(view, self._c.delivery.term, lease)
+                return True
+
+            try:
+                await self._c.committer.add(
+                    # Others place on our machines by what it says: it must not starve.
+                    Change("summary", P_USER, 1, apply, leased=True)
+                ).wait()
+            except NoLease:
+                self._renewal, self._present = None, False
+                self._due.set()
+            except Refused as refusal:
+                log.error("the summary was refused: %s", refusal)
--- /dev/null
+++ b/src/sandladder/peers.py
@@ -0,0 +1,157 @@
+"""The other controllers: who lives, who places which team, and requests passed on."""
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder import mesh, wire
+from sandladder.http import Request, Response
+from sandladder.lifecycle import (
+    Ended,
+)
+from sandladder.model import (
+    Attempt,
+)
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+
+# What is answered when a request cannot be taken: come back soon.
+BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
+
+
+class Asked:
+    """A request that a peer was asked to serve."""
+
+    def __init__(self) -> None:
+        self.arrived = anyio.Event()
+        self.answer: Response | None = None
+
+
+class Peers:
+    """What passes between this controller and the others."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self.links = {
+            peer.node_name: mesh.Link(peer, controller.beat_s)
+            for peer in controller.settings.platform.peers
+        }
+        self._asks = 0
+        self._asked: dict[int, Asked] = {}
+
+    def live_nodes(self) -> list[str]:
+        """The controllers that seem able to place."""
+        now = anyio.current_time()
+        fresh = {
+            node for node, _, seen in self._c.loss.statements() if now - seen < 2 * self._c.report_s
+        }
+        found = []
+        for name in self._c.nodes:
+            link = self.links.get(name)
+            if link is None:
+                found.append(name)
+            elif now - link.heard_at < 3 * self._c.beat_s:
+                if link.state_ok:
+                    found.append(name)
+            elif not link.refused and name in fresh:
+                found.append(name)
+        return found
+
+    def owner(self, team: str) -> str:
+        """The controller that places this team's jobs; a disagreement costs only a retry."""
+        names = [t.name for t in self._c.settings.platform.deployment.teams]
+        first = names.index(team) if team in names else 0
+        live = set(self.live_nodes())
+        for step in range(len(self._c.nodes)):
+            name = self._c.nodes[(first + step) % len(self._c.nodes)]
+            if name in live:
+                return name
+        return self._c.node
+
+    def beat(self) -> mesh.Beat:
+        self._share_writes()
+        return mesh.Beat(
+            self._c.node, self._c.hold.alive() and self._c.state_ok(), self._c.committer.demand
+        )
+
+    def _share_writes(self) -> None:
+        """Divide the store's write rate by what each controller has waiting."""
+        now = anyio.current_time()
+        least = self._c.settings.platform.deployment.state.txn_ops / 4
+        own = least + self._c.committer.demand
+        whole = own
+        for name, link in self.links.items():
+            if now - link.heard_at < 3 * self._c.beat_s:
+                whole += least + link.demand
+            elif name in self._c.mirror.nodes:
+                whole += own  # it lives and we do not hear it: it may need as much as we do
+        self._c.state.writes.share = own / whole
+
+    def poke(self, nodes: set[str]) -> None:
+        for name in nodes & self.links.keys():
+            self.links[name].send(mesh.Poke(self._c.mirror.revision))
+
+    def hear(self, message: mesh.Message) -> None:
+        if isinstance(message, mesh.Beat):
+            link = self.links.get(message.node)
+            if link is not None:
+                link.heard_at, link.state_ok = anyio.current_time(), message.state_ok
+                link.demand = message.demand
+        elif isinstance(message, mesh.Poke):
+            self._c.watch.poke()
+        elif isinstance(message, mesh.Ask):
+            if message.node in self.links and self._c.tasks is not None:
+                self._c.tasks.start_soon(self._answer, message)
+        elif isinstance(message, mesh.Answer):
+            asked = self._asked.pop(message.number, None)
+            if asked is not None:
+                asked.answer = Response(message.status, message.body, message.retry_after)
+                asked.arrived.set()
+        elif isinstance(message, mesh.Sighting):
+            self._c.picture.now = anyio.current_time()
+            self._c.picture.tell(message.node, message.machine, message.seen)
+            self._c.plan_due.set()
+        else:
+            for item in message.ends:
+                attempt = Attempt(item.machine, item.zone, item.session, item.attempt)
+                ended = Ended(item.job, item.task, attempt, item.outcome)
+                self._c.work.told(ended)
+
+    async def _answer(self, ask: mesh.Ask) -> None:
+        """Serve a user's request that came to a peer; it is not passed on again."""
+        answer = await self._c.users.guarded(
+            lambda: self._c.users.route(Request(ask.method, ask.path, ask.body)), ask.path
+        )
+        self.links[ask.node].send(
+            mesh.Answer(ask.number, answer.status, answer.body, answer.retry_after)
+        )
+
+    async def relay(self, request: Request, peer: str) -> Response:
+        """Have a peer that reaches the state service serve a user's request."""
+        self._asks += 1
+        number = self._asks
+        asked = self._asked[number] = Asked()
+        self.links[peer].send(
+            mesh.Ask(self._c.node, number, request.method, request.path, request.body)
+        )
+        try:
+            with anyio.move_on_after(self._c.report_s / 2):
+                await asked.arrived.wait()
+        finally:
+            self._asked.pop(number, None)
+        return asked.answer or BUSY
+
+    def abler(self) -> str | None:
+        """A peer that says it reaches the state service, if any does."""
+        now = anyio.current_time()
+        able = [
+            name
+            for name, link in self.links.items()
+            if link.state_ok and now - link.heard_at < 3 * self._c.beat_s
+        ]
+        return self._c.rng.choice(able) if able else None
--- /dev/null
+++ b/src/sandladder/users.py
@@ -0,0 +1,227 @@
+"""Users' requests: submissions, questions and cancellations, each answered at once."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder import wire
+from sandladder.http import Request, Response
+from sandladder.lifecycle import (
+    Refused,
+    View,
+    cancel,
+    rejection,
+    submit,
+)
+from sandladder.model import (
+    CANCELLED,
+    DONE,
+    FINAL,
+    Final,
+    Job,
+    JobSpec,
+)
+from sandladder.peers import BUSY, Asked
+from sandladder.store import (
+    P_USER,
+    Change,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+
+class Users:
+    """Answers the requests to a controller's public address."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request to the node's public address."""
+        path = request.path.partition("?")[0]
+        if path == wire.REPORT:
+            return await self.guarded(
+                lambda: self._only("POST", request, self._c.workers.report), path
+            )
+        if path == wire.HEALTH:
+            return await self._only("GET", request, self._health)
+        # Users' requests are idempotent.  One that the state service leaves waiting here is
+        # given to a peer that reaches it, at once when we know that we do not.
+        peer = self._c.peers.abler()
+        if peer is None:
+            return await self.guarded(lambda: self.route(request), path)
+        if self._c.state_ok():
+            answer = await self._unless_cut_off(request, path)
+            if answer is not None:
+                return answer
+            log.info("the state service does not answer: %s goes to %s", path, peer)
+        return await self._c.peers.relay(request, peer)
+
+    async def _unless_cut_off(self, request: Request, path: str) -> Response | None:
+        """Serve a request here, but give up when the state service stops answering us."""
+        served = Asked()
+
+        async def serve() -> None:
+            served.answer = await self.guarded(lambda: self.route(request), path)
+            served.arrived.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve)
+            while served.answer is None:
+                with anyio.move_on_after(self._c.report_s / 16):
+                    await served.arrived.wait()
+                if anyio.current_time() - self._c.state.ok_at > self._c.report_s / 8:
+                    break
+            tasks.cancel_scope.cancel()
+        return served.answer
+
+    async def guarded(self, serve: Callable[[], Awaitable[Response]], path: str) -> Response:
+        """Turn whatever goes wrong into an answer."""
+        try:
+            return await serve()
+        except (Unavailable, TimeoutError):
+            return BUSY
+        except Exception:
+            log.exception("a request failed: %s", path)
+            return Response(500, wire.error_body("internal error"), 1)
+
+    async def route(self, request: Request) -> Response:
+        path = request.path.partition("?")[0]
+        if path == wire.JOBS:
+            return await self._only("POST", request, self._submit)
+        if path.startswith(wire.JOBS + "/"):
+            job_id, _, action = path[len(wire.JOBS) + 1 :].partition("/")
+            if action == "cancel":
+                return await self._only("POST", request, lambda r: self._cancel(job_id))
+            if not action:
+                return await self._only("GET", request, lambda r: self._status(job_id))
+        return Response(404, wire.error_body("no such path"))
+
+    @staticmethod
+    async def _only(
+        method: str, request: Request, handler: Callable[[Request], Awaitable[Response]]
+    ) -> Response:
+        if request.method != method:
+            return Response(405, wire.error_body("wrong method"))
+        return await handler(request)
+
+    async def _health(self, request: Request) -> Response:
+        ready = self._c.watch.loaded and bool(self._c.mirror.types)
+        if not ready or (not self._c.state_ok() and self._c.peers.abler() is not None):
+            return Response(503)
+        return Response(200)
+
+    async def _lookup(self, job_id: str) -> Job | Final | None:
+        """A job as of now: read after the question came."""
+        final = self._c.mirror.finals.get(job_id)
+        if final is not None:
+            return final  # finished jobs do not change
+        with anyio.fail_after(self._c.report_s / 2):
+            await self._c.watch.barrier()
+            job = self._c.mirror.jobs.get(job_id)
+            if job is not None:
+                return job
+            found = self._c.mirror.finals.get(job_id)
+            if found is not None:
+                return found
+            stored = await self._c.state.get(FINAL + job_id)
+        if stored is None:
+            return None
+        final = Final(*stored[0])
+        self._c.mirror.remember(job_id, final)
+        return final
+
+    async def _status(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        return self._state_answer(job_id, await self._lookup(job_id))
+
+    @staticmethod
+    def _state_answer(job_id: str, found: Job | Final | None) -> Response:
+        if found is None:
+            return Response(404, wire.error_body("no such job"))
+        if isinstance(found, Final):
+            return Response(200, wire.job_status(job_id, found.state, found.done))
+        running = len(found.live)
+        return Response(200, wire.job_status(job_id, found.state, found.done.count, running))
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            spec = wire.parse_job(request.body)
+            problem, status = None, 0
+        except wire.Malformed as error:
+            problem, status = str(error), 400
+            job_id = wire.id_of(request.body)
+            if job_id is None:
+                return Response(400, wire.error_body(problem))
+        else:
+            job_id = spec.id
+            if job_id in self._c.mirror.jobs or job_id in self._c.mirror.finals:
+                return self._state_answer(job_id, await self._lookup(job_id))
+            if not self._c.mirror.types:
+                return Response(503, wire.error_body("the machine types are not known yet"), 1)
+            problem = rejection(spec, self._c.mirror.types, self._c.picture.limits)
+            status = 422
+        if problem is not None:
+            # A job that was accepted stays so, whatever a later submission says.
+            found = await self._lookup(job_id)
+            if found is not None:
+                return self._state_answer(job_id, found)
+            return Response(status, wire.error_body(problem))
+        if self._c.committer.full or not self._c.state_ok():
+            return BUSY
+        now = self._c.wall()
+        change = Change(
+            f"submission of {job_id}",
+            P_USER,
+            1,
+            lambda view: self._apply_submit(view, spec, now),
+            final=FINAL + job_id,
+        )
+        try:
+            with anyio.fail_after(self._c.report_s):
+                await self._c.committer.add(change).wait()
+        except Refused:
+            return self._state_answer(job_id, await self._lookup(job_id))
+        self._c.peers.poke({self._c.peers.owner(spec.team)})
+        return Response(201, wire.job_status(job_id, "pending"))
+
+    @staticmethod
+    def _apply_submit(view: View, spec: JobSpec, now: float) -> bool:
+        submit(view, spec, now)
+        return True
+
+    async def _cancel(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_body("no such job"))
+        found = await self._lookup(job_id)
+        if found is None or isinstance(found, Final) or found.cancelled:
+            if found is None:
+                return Response(404, wire.error_body("no such job"))
+            return Response(200, wire.job_status(job_id, found.state))
+
+        def apply(view: View) -> bool:
+            cancel(view, job_id)
+            return True
+
+        clerks = set()
+        for attempt in found.live.values():
+            sight = self._c.picture.sight(attempt.machine)
+            if sight is not None:
+                clerks.add(sight.clerk)
+        try:
+            with anyio.fail_after(self._c.report_s):
+                await self._c.committer.add(Change(f"cancel {job_id}", P_USER, 2, apply)).wait()
+        except Refused:
+            found = await self._lookup(job_id)
+            if found is None or found.state not in (DONE, CANCELLED):
+                return BUSY
+            return Response(200, wire.job_status(job_id, found.state))
+        self._c.peers.poke(clerks)
+        return Response(200, wire.job_status(job_id, CANCELLED))
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -52,7 +52,7 @@
         for item in ends:
             key = (item.job, item.task, item.attempt.attempt)
             job = c.mirror.jobs.get(item.job)
-            owner = c.owner(job.spec.team) if job else c.node
+            owner = c.peers.owner(job.spec.team) if job else c.node
             told = mesh.EndedTask(item.job, item.task, *item.attempt[:4], outcome=item.outcome)
             first = self._proved.get(key)
             if first is None:
@@ -68,11 +68,11 @@
             if owner == c.node or now - first[0] > 3 * self._wait_s:
                 self._take(item)
         if news:
-            for link in c.links.values():
+            for link in c.peers.links.values():
                 link.send(mesh.Ends(news))
         for owner, items in away.items():
-            if owner in c.links:
-                c.links[owner].send(mesh.Ends(items))
+            if owner in c.peers.links:
+                c.peers.links[owner].send(mesh.Ends(items))
 
     def told(self, item: Ended) -> None:
         """A peer has the proof of an end."""
@@ -80,7 +80,7 @@
         c.picture.note_over(item)
         c.plan_due.set()
         job = c.mirror.jobs.get(item.job)
-        if job is not None and c.owner(job.spec.team) == c.node:
+        if job is not None and c.peers.owner(job.spec.team) == c.node:
             self._take(item)
 
     def _take(self, item: Ended) -> None:
@@ -209,7 +209,7 @@
         useful = end(view, self._ends.get(job_id, {}).values())
         passed = self._release(job_id)
         job = c.mirror.jobs.get(job_id)
-        if not passed or job is None or not c.alive():
+        if not passed or job is None or not c.hold.alive():
             return useful
         limits = c.picture.limits.get(job.spec.team, TeamLimits(""))
         try:
@@ -225,7 +225,7 @@
         """They are starts now: their own news must not be held against them."""
         released = self._released.get(job_id, [])
         self._withdraw(released)
-        self._c.poke({intent.clerk for intent in released})
+        self._c.peers.poke({intent.clerk for intent in released})
 
     async def _after(self, change: Change, job_id: str) -> None:
         try:
@@ -249,7 +249,7 @@
                 self._take(item)  # it came while the others were being committed
             dialogue = c.delivery.machines.get(item.attempt.machine)
             if dialogue is not None:
-                c.push(dialogue)
+                c.workers.push(dialogue)
         if change.error is not None or not released:
             # Nothing of it could be released: asking again at once could go on for ever
             # (seen in the stand-in world).  The next round of planning takes it up.
--- /dev/null
+++ b/src/sandladder/workers.py
@@ -0,0 +1,199 @@
+"""The dealings with workers: reports answered, commands sent, ends and losses looked for."""
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder import mesh, wire
+from sandladder.delivery import Dialogue
+from sandladder.http import HttpError, Request, Requester, Response
+from sandladder.lifecycle import (
+    Ended,
+)
+from sandladder.model import (
+    Report,
+)
+from sandladder.settings import split_addr
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+
+def _state_of(dialogue: Dialogue) -> tuple[int, bool, int]:
+    """What the other controllers should soon know of a machine."""
+    return dialogue.session, dialogue.notice_at is None, len(dialogue.failed)
+
+
+class Workers:
+    """Talks with the machines that report to this controller."""
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self._clients: dict[str, tuple[str, Requester]] = {}
+
+    async def report(self, request: Request) -> Response:
+        try:
+            report = wire.parse_report(wire.loads(request.body))
+        except wire.Malformed as error:
+            return Response(400, wire.error_body(str(error)))
+        if not self._c.hold.alive():
+            return Response(421, wire.redirect_body(self._c.peers.abler()))
+        if not self._c.state_ok() and (peer := self._c.peers.abler()):
+            # We cannot learn what to tell the machine any more, and a peer can.
+            return Response(421, wire.redirect_body(peer))
+        if report.token > self._c.delivery.term and not await self._c.hold.rise_above(report.token):
+            return Response(421, wire.redirect_body(None))
+        known = self._c.delivery.machines.get(report.machine)
+        before = None if known is None else _state_of(known)
+        dialogue = self._hear(report, direct=False)
+        if dialogue is None:
+            return Response(503, wire.error_body("a newer report is known"))
+        if before != _state_of(dialogue):
+            self._tell_peers(dialogue)
+        commands = self._c.delivery.orders(dialogue, self._c.mirror)
+        if dialogue.sending:
+            commands = [c for c in commands if c.op != "start"]
+        if not self._c.hold.alive():
+            return Response(421, wire.redirect_body(None))
+        if any(c.op == "start" for c in commands):
+            dialogue.start_in_answer = True
+        self._c.loss.answered(report.machine, anyio.current_time())
+        return Response(200, wire.dumps(wire.commands_value(self._c.delivery.term, commands)))
+
+    def _tell_peers(self, dialogue: Dialogue) -> None:
+        """A machine came or changed: others can use that before our next summary."""
+        sight = self._c.picture.sight(dialogue.report.machine)
+        if sight is not None:
+            for link in self._c.peers.links.values():
+                link.send(mesh.Sighting(self._c.node, dialogue.report.machine, sight.seen))
+
+    def _hear(self, report: Report, *, direct: bool) -> Dialogue | None:
+        now = self._c.picture.now = anyio.current_time()
+        dialogue, news = self._c.delivery.heard(report, now, direct=direct)
+        if not news:
+            return None
+        self._c.picture.heard(dialogue)
+        if dialogue.obeys and not dialogue.synced and self._c.tasks is not None:
+            self._c.tasks.start_soon(self._confirm, dialogue, dialogue.epoch)
+        self._c.work.collect(self._c.delivery.ends(dialogue, self._c.mirror))
+        return dialogue
+
+    async def _confirm(self, dialogue: Dialogue, epoch: int) -> None:
+        """Give orders only from records read after the machine came to obey our term."""
+        with anyio.move_on_after(self._c.lease_s):
+            await self._c.watch.barrier()
+            if dialogue.obeys and dialogue.epoch == epoch and not dialogue.synced:
+                dialogue.synced = True
+                self._c.picture.touch(dialogue.report.machine)
+                self.push(dialogue)
+                self._c.plan_due.set()
+
+    def push(self, dialogue: Dialogue) -> None:
+        """Send the machine its orders directly, if there are any."""
+        if dialogue.sending or not self._c.hold.alive() or self._c.tasks is None:
+            return
+        if any(c.op != "forget" for c in self._c.delivery.orders(dialogue, self._c.mirror)):
+            dialogue.sending = True
+            self._c.tasks.start_soon(self._command, dialogue)
+
+    async def _command(self, dialogue: Dialogue) -> None:
+        machine = dialogue.report.machine
+        try:
+            again = await self._send_commands(dialogue)
+        finally:
+            dialogue.sending = False
+        if again and self._c.delivery.machines.get(machine) is dialogue:
+            self.push(dialogue)
+
+    async def _send_commands(self, dialogue: Dialogue) -> bool:
+        dialogue.sending = False
+        commands = self._c.delivery.orders(dialogue, self._c.mirror)
+        dialogue.sending = True
+        if not commands or not self._c.hold.alive():
+            return False
+        term, report = self._c.delivery.term, dialogue.report
+        body = wire.commands_value(term, commands) | {"shift": report.session}
+        client = self._client(report.machine, report.addr)
+        starts = any(c.op == "start" for c in commands)
+        try:
+            answer = await client.request(
+                "POST", wire.COMMANDS, wire.dumps(body), timeout=self._c.report_s
+            )
+            fresh = wire.parse_report(wire.loads(answer.body))
+        except (HttpError, wire.Malformed) as error:
+            log.info("machine %s did not answer a command: %s", report.machine, error)
+            if starts:
+                dialogue.tainted = term
+            await anyio.sleep(self._c.report_s / 2)
+            return False
+        if fresh.machine != report.machine:
+            log.warning("%s answers at the address of %s", fresh.machine, report.machine)
+            return False
+        sent = {(c.job, c.task, c.attempt) for c in commands if c.op == "stop"}
+        self._hear(fresh, direct=True)
+        if answer.status != 200:
+            if fresh.token > term:
+                self._c.delivery.lost_touch(report.machine)
+            return False
+        dialogue.sending = False
+        self._c.work.collect(self._c.delivery.never_ran(dialogue, self._c.mirror, commands, term))
+        dialogue.sending = True
+        told = {(c.job, c.task, c.attempt) for c in commands if c.op != "forget"}
+        left = self._c.delivery.orders(dialogue, self._c.mirror)
+        # What was just told and is under way needs no repeating before the next report.
+        return any((c.job, c.task, c.attempt) not in told | sent and c.op != "forget" for c in left)
+
+    def _client(self, machine: str, addr: str) -> Requester:
+        known = self._clients.get(machine)
+        if known is None or known[0] != addr:
+            host, port = split_addr(addr)
+            known = self._clients[machine] = addr, self._c.connect(host, port, keep=1)
+        return known[1]
+
+    async def sweep(self) -> None:
+        """Look again, at a slow pace, for what events may have missed."""
+        while True:
+            await anyio.sleep(self._c.report_s / 6)
+            now = self._c.picture.now = anyio.current_time()
+            if not self._c.watch.loaded:
+                continue
+            for dialogue in list(self._c.delivery.machines.values()):
+                self._c.work.collect(self._c.delivery.ends(dialogue, self._c.mirror))
+                if dialogue.tainted == self._c.delivery.term and dialogue.obeys:
+                    await self._c.hold.rise_above(self._c.delivery.term + 1)
+            self._c.work.collect(self._losses(now))
+            self._c.delivery.forget_silent(now, 4 * self._c.lease_s)
+            self._c.picture.forget()
+            for machine in [m for m in self._clients if m not in self._c.delivery.machines]:
+                await self._clients.pop(machine)[1].aclose()
+            self._c.work.sweep()
+            for job_id in self._c.planner.avoid.keys() - self._c.mirror.jobs.keys():
+                del self._c.planner.avoid[job_id]
+            self._c.plan_due.set()
+
+    def _losses(self, now: float) -> list[Ended]:
+        """Attempts on machines that are gone, or whose lease has surely run out."""
+        found = []
+        for machine in list(self._c.mirror.on_machine):
+            listed = self._c.mirror.fleet.get(machine)
+            gone = listed is not None and listed.state == "gone"
+            if not gone:
+                sight = self._c.picture.sight(machine)
+                if sight is not None and self._c.picture.age_s(sight) < self._c.lease_s:
+                    # A later session ends what an earlier one ran.
+                    found += [
+                        Ended(job.id, task, attempt, "lost")
+                        for job, task, attempt in self._c.mirror.attempts_on(machine)
+                        if attempt.session < sight.seen.session
+                    ]
+                    continue
+                gone = self._c.loss.lost(machine, now)
+            if gone:
+                found += [
+                    Ended(job.id, task, attempt, "lost")
+                    for job, task, attempt in self._c.mirror.attempts_on(machine)
+                ]
+        return found
--- a/tests/world.py
+++ b/tests/world.py
@@ -195,7 +195,7 @@
             await anyio.sleep(self._world.rng.uniform(0.001, 0.01))
             node = self._world.nodes.get(self._target)
             if node is not None and self._world.network.between(self._source, self._target) is None:
-                node._hear_peer(message)
+                node.peers.hear(message)
 
         self._world.network.tasks.start_soon(carry)
 
@@ -211,7 +211,7 @@
             connect=lambda host, port, keep=4: FakeClient(world.network, settings.node, host),
             wall=lambda: now() + 1e6,
         )
-        self.links = {n: FakeLink(world, self.node, n) for n in self.nodes if n != self.node}
+        self.peers.links = {n: FakeLink(world, self.node, n) for n in self.nodes if n != self.node}
 
     def _duty_failed(self, name: str) -> None:
         self._world.breaks("duty", f"{name}: {sys.exc_info()[1]!r}")
@@ -219,8 +219,8 @@
     def _listen(self, tasks: Any) -> None:
         async def beats() -> None:
             while True:
-                for link in self.links.values():
-                    link.send(self._beat())
+                for link in self.peers.links.values():
+                    link.send(self.peers.beat())
                 await anyio.sleep(self.beat_s)
 
         tasks.start_soon(beats)
@@ -673,7 +673,7 @@
                 self._scopes[node.node] = scope
 
                 async def handle(source: str, request: Request) -> Response:
-                    return await node.handle(request)
+                    return await node.users.handle(request)
 
                 self.network.handlers[node.node] = handle
                 await node.run()
