--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -93,6 +93,7 @@
         self._came_up: set[str] = set()  # machines that have reported
         # Classes whose aim for the start is shorter than machines take to boot.
         self._waits = picture.settings.waits
+        self._finishes = picture.settings.finishes
 
     def refused(self, wish: Wish) -> None:
         """The cloud had no capacity for this: ask again only later."""
@@ -131,7 +132,7 @@
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
                 eta_s = wall - job.submitted + backlog / max(self._capacity, spec.cpus)
-                allowance = self._allowance_s(spec)
+                allowance = self._allowance_s(spec, wall - job.submitted)
                 any_kind = self._pressing(spec, eta_s, allowance)
                 if any_kind and spec.priority < HIGH and spec.kind != SERVICE:
                     # Rent ordinary machines for as much as brings it back within its time.
@@ -203,12 +204,23 @@
                 left -= found.take(spec, left)
         return count - left
 
-    def _allowance_s(self, spec: JobSpec) -> float:
-        """How late the last task of a job may start, from its submission."""
-        allowance = self._waits.get(spec.cls, math.inf)
+    def _allowance_s(self, spec: JobSpec, age_s: float) -> float:
+        """How late the last task of a job may start, from its submission.
+
+        An aim that no machine rented now could meet any more presses for nothing: then the
+        next one counts.
+        """
+        boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
+        up_s = age_s + min(boots, default=0.0)
+        run_s = 1.3 * spec.estimate_s
+        late = [self._waits.get(spec.cls, math.inf)]
+        late += [max(0.0, within - run_s) for within in self._finishes.get(spec.cls, ())]
         if spec.deadline_s is not None:
-            allowance = min(allowance, max(0.0, spec.deadline_s - 1.3 * spec.estimate_s))
-        return allowance if allowance < math.inf else 10 * self._lease_s
+            late.append(max(0.0, spec.deadline_s - run_s))
+        late = sorted(limit for limit in late if limit < math.inf)
+        if not late:
+            return 10 * self._lease_s
+        return next((limit for limit in late if limit >= up_s), late[-1])
 
     def _pressing(self, spec: JobSpec, eta_s: float, allowance: float) -> bool | None:
         """Whether to rent for work that would start so late: None no, False spot only.
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -149,6 +149,15 @@
                 found[aim.cls] = min(aim.within_s, found.get(aim.cls, aim.within_s))
         return found
 
+    @property
+    def finishes(self) -> dict[str, list[float]]:
+        """By class, the times within which its jobs should be done."""
+        found: dict[str, list[float]] = {}
+        for aim in self.platform.deployment.objectives:
+            if aim.kind == "finished" and aim.cls is not None and aim.within_s is not None:
+                found.setdefault(aim.cls, []).append(aim.within_s)
+        return found
+
     @property
     def node_names(self) -> list[str]:
         return sorted([self.node, *(peer.node_name for peer in self.platform.peers)])
