--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -57,6 +57,8 @@
             first = self._proved.get(key)
             if first is None:
                 first = self._proved[key] = (now, owner)
+                if item.outcome in ("lost", "never"):
+                    log.info("%s/%d is over on %s: %s", *key[:2], item.attempt[0], item.outcome)
                 c.picture.note_over(item)
                 c.plan_due.set()
                 news.append(told)
