--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -323,6 +323,8 @@
         self._answered: dict[str, float] = {}
         self._statements: dict[str, _Statement] = {}
         self._absent: dict[str, float] = {}
+        # By machine and session, since when we know that this session had begun.
+        self._began: dict[tuple[str, int], float] = {}
         self._history: deque[tuple[float, int]] = deque(maxlen=512)
 
     def answered(self, machine: str, now: float) -> None:
@@ -343,6 +345,11 @@
     def up_s(self, now: float) -> float:
         return now - self._started
 
+    def forget(self, held: Iterable[tuple[str, int]]) -> None:
+        """Only these sessions still hold committed starts."""
+        known = set(held)
+        self._began = {key: at for key, at in self._began.items() if key in known}
+
     def synced(self, sent: float, revision: int) -> None:
         """A reading sent then reached this revision."""
         if not self._history or sent - self._history[-1][0] > self.needed_s / 100:
@@ -378,9 +385,13 @@
                 return sent
         return float("-inf")
 
-    def lost(self, machine: str, now: float) -> bool:
-        """Whether everything that was on the machine when it went silent is gone."""
+    def lost(self, machine: str, session: int, now: float) -> bool:
+        """Whether everything that the machine ran in a session is surely gone."""
         last = self._answered.get(machine, max(self._started, now - self.listed_s))
+        # A machine that came up after a summary was made is missing there, and alive: only
+        # what follows the beginning of its session counts.  Seen in a measured day, where a
+        # task ran twice after a peer's word on a new machine came before its summary.
+        last = max(last, self._began.setdefault((machine, session), now))
         until = now
         for name in self._others:
             statement = self._statements.get(name)
--- a/src/sandladder/workers.py
+++ b/src/sandladder/workers.py
@@ -176,24 +176,26 @@
 
     def _losses(self, now: float) -> list[Ended]:
         """Attempts on machines that are gone, or whose lease has surely run out."""
+        c = self._c
         found = []
-        for machine in list(self._c.mirror.on_machine):
-            listed = self._c.mirror.fleet.get(machine)
-            gone = listed is not None and listed.state == "gone"
-            if not gone:
-                sight = self._c.picture.sight(machine)
-                if sight is not None and self._c.picture.age_s(sight) < self._c.lease_s:
-                    # A later session ends what an earlier one ran.
-                    found += [
-                        Ended(job.id, task, attempt, "lost")
-                        for job, task, attempt in self._c.mirror.attempts_on(machine)
-                        if attempt.session < sight.seen.session
-                    ]
-                    continue
-                gone = self._c.loss.lost(machine, now)
-            if gone:
-                found += [
-                    Ended(job.id, task, attempt, "lost")
-                    for job, task, attempt in self._c.mirror.attempts_on(machine)
-                ]
+        held: set[tuple[str, int]] = set()
+        for machine in c.mirror.on_machine:
+            attempts = list(c.mirror.attempts_on(machine))
+            sessions = {attempt.session for _, _, attempt in attempts}
+            held.update((machine, session) for session in sessions)
+            listed = c.mirror.fleet.get(machine)
+            sight = c.picture.sight(machine)
+            if listed is not None and listed.state == "gone":
+                over = sessions
+            elif sight is not None and c.picture.age_s(sight) < c.lease_s:
+                # A later session ends what an earlier one ran.
+                over = {session for session in sessions if session < sight.seen.session}
+            else:
+                over = {s for s in sessions if c.loss.lost(machine, s, now)}
+            found += [
+                Ended(job.id, task, attempt, "lost")
+                for job, task, attempt in attempts
+                if attempt.session in over
+            ]
+        c.loss.forget(held)
         return found
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -299,6 +299,7 @@
         rng = Random(seed)
         proof = LossProof("a", ["a", "b", "c"], lease, 0.0)
         proof.observe({}, 0.0)
+        assert not proof.lost("vm", 1, 0.0)
         answers: list[float] = [0.0]
         last = {"b": 0.0, "c": 0.0}
         history: list[tuple[float, int]] = []
@@ -331,7 +332,7 @@
                     pending.remove(item)
             proof.observe(dict(nodes), now)
             proof.synced(now, revision)
-            if proof.lost("vm", now):
+            if proof.lost("vm", 1, now):
                 proved += 1
                 gaps = [b - a for a, b in zip(answers, [*answers[1:], now], strict=True)]
                 assert max(gaps) >= lease, (seed, now, answers[-3:])
@@ -524,3 +525,22 @@
     together = accept(mirror, number=2, entries=5, same_place=True, form="group")
     zones = [i.placement.zone for i in planner.plan([together], {})]
     assert zones == ["south"] * 5
+
+
+def test_a_machine_that_came_up_after_the_summaries_is_not_proved_lost() -> None:
+    """Seen in a measured day: a peer's word on a new machine came before its summary did.
+
+    Another controller, cut off from both, saw the start and proved the machine lost by
+    summaries from before it was up; the task ran twice.
+    """
+    proof = LossProof("a", ["a", "b"], 10.0, 0.0)
+    assert not proof.lost("old", 1, 0.0)
+    for second in range(1, 51):
+        now = float(second)
+        proof.observe({"b": Summary(1, now, second - 1, {})}, now)
+        proof.synced(now, second)
+    assert proof.lost("old", 1, 50.0)
+    for second in range(50, 90):
+        assert not proof.lost("new", 1, float(second))
+    proof.forget([("old", 1)])
+    assert not proof.lost("old", 2, 90.0)
