--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -115,6 +115,7 @@
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
         self._touched: dict[str, int] = {}
         self._sights: dict[str, Sight] = {}
+        self._doubts: dict[str, float] = {}  # machines that refused a start, and until when
         self._told: dict[str, Summary] = {}  # the summaries that were taken in
         # What is left on machines, worked out again only where something changed.
         self._left: dict[str, tuple[float, float, float]] = {}
@@ -192,6 +193,7 @@
             self.now - sight.at <= late
             and seen.notice_s is None
             and seen.errors < SICK_ERRORS
+            and self._doubts.get(machine, 0.0) <= self.now
             and (listed is None or listed.state not in ("draining", "gone"))
         )
         return Room(
@@ -229,6 +231,13 @@
             self.over[machine].add(key)
             self.touch(machine)
 
+    def doubt(self, machine: str, for_s: float) -> None:
+        """It refused a start for want of room: something is there that we do not know of.
+
+        Seen in a measured day: the same machine was chosen again a dozen times.
+        """
+        self._doubts[machine] = self.now + for_s
+
     def freed(self, machine: str) -> bool:
         """Whether nothing runs there any more, committed or not."""
         over = self.over.get(machine, ())
@@ -302,6 +311,7 @@
         self.images.keep(known)
         self._touched = {m: v for m, v in self._touched.items() if m in known}
         self._left = {m: v for m, v in self._left.items() if m in known}
+        self._doubts = {m: t for m, t in self._doubts.items() if t > self.now}
         for machine in list(self.over):
             held = {(j.id, task, a.attempt) for j, task, a in self.mirror.attempts_on(machine)}
             self.over[machine] &= held
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -119,6 +119,8 @@
         if job is None or item.outcome not in ("error", "unknown", "no_room", "busy"):
             return
         delay = c.report_s / 3
+        if item.outcome in ("no_room", "busy"):
+            c.picture.doubt(item.attempt.machine, c.report_s)
         if item.outcome in ("error", "unknown"):
             # It goes elsewhere first; the more machines it failed on, the longer it waits.
             failed = c.planner.avoid.setdefault(item.job, set())
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -544,3 +544,12 @@
         assert not proof.lost("new", 1, float(second))
     proof.forget([("old", 1)])
     assert not proof.lost("old", 2, 90.0)
+
+
+def test_a_machine_that_refused_a_start_is_left_alone_for_a_while() -> None:
+    picture, planner, mirror, _ = scene()
+    picture.doubt("vm-2", 2.0)
+    found = accept(mirror, entries=8)
+    assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-1"}
+    picture.now = 2.5
+    assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-2"}
