--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sandladder.placement import SICK_ERRORS
-from world import World, job, run
+from world import World, job, now, run
 
 Trouble = Callable[[World], Awaitable[None]]
 
@@ -351,3 +351,82 @@
 
     run(world, main)
     assert world.broken == []
+
+
+async def cut_zone(world: World) -> None:
+    """Everything in one zone is cut off from the rest, then some of its packets come late."""
+    await anyio.sleep(8.0)
+    inside = {f"node-{i}" for i in range(world.count) if i % 2}
+    inside |= {w.name for w in world.cloud.workers.values() if w.zone == "south"}
+    outside = {"state", "cloud", *(f"node-{i}" for i in range(world.count) if i % 2 == 0)}
+    outside |= {w.name for w in world.cloud.workers.values() if w.zone == "north"}
+    for one in inside:
+        for other in outside:
+            world.network.cut(one, other, world.rng.choice(["drop", "hold"]))
+    await anyio.sleep(25.0)
+    world.network.heal()
+
+
+async def wave(world: World) -> None:
+    """Most cheap machines are taken, half of them without notice; then controllers crash."""
+    await anyio.sleep(10.0)
+    spot = [w for w in world.cloud.workers.values() if w.spot and w.gone_at is None]
+    for worker in spot:
+        if world.rng.random() < 0.5:
+            worker.notice_until = now() + 8.0
+    await anyio.sleep(3.0)
+    for index in (0, 1, 2):
+        world.crash(index)
+    await anyio.sleep(4.0)
+    for index in (0, 1, 2):
+        world.boot(index)
+    for worker in spot:
+        if worker.gone_at is None and world.rng.random() < 0.8:
+            worker.vanish(False)
+
+
+async def slow_store(world: World) -> None:
+    """The state service answers slowly, then not at all for longer than a hold."""
+    await anyio.sleep(6.0)
+    world.store.slow_s = 0.3
+    await anyio.sleep(15.0)
+    world.store.slow_s = 0.0
+    world.store.outage(True)
+    await anyio.sleep(27.0)
+    world.store.outage(False)
+
+
+@pytest.mark.parametrize("trouble", [cut_zone, wave, slow_store])
+def test_a_grown_world_keeps_the_rules(trouble: Trouble) -> None:
+    """Seven controllers, dozens of machines, arrays past one record's window, small values."""
+    world = World(700 + len(trouble.__name__), count=7, grown=True)
+    world.cloud.most = 48
+
+    async def main() -> None:
+        await warm(world)
+        ids = [f"job-{n:06d}" for n in range(12)]
+        web = job(900, form="service", entries=9, rank="prod", docket="web", loaners=False)
+        web |= {"apart": True}
+
+        async def users() -> None:
+            await world.submit(web)
+            for number, job_id in enumerate(ids):
+                large = {"entries": 60, "parcel": f"img-{number % 3}"}
+                spec = large if number % 3 == 0 else mixed(world, number)
+                world.network.tasks.start_soon(
+                    world.submit, job(number) | spec | {"id": job_id}, 120
+                )
+                await anyio.sleep(1.5)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(users)
+            tasks.start_soon(trouble, world)
+        late = await world.until_done(ids, 240.0)
+        assert not late, late
+        assert (await world.poll(web["id"]) or {}).get("running") == 9
+
+    run(world, main)
+    assert world.broken == []
+    assert world.store.largest <= 2 * 1024
+    largest = max(len(node.nodes) for node in world.nodes.values())
+    assert largest == 7 and sum(world.starts.values()) >= 240
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import json
 import sys
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
@@ -32,6 +33,15 @@
 ]
 
 
+WRITE_RPS = 30.0
+
+
+def teams(grown: bool) -> list[dict[str, Any]]:
+    """The teams and what they may use."""
+    factor = 10.0 if grown else 1.0
+    return [{k: v if k == "name" else v * factor for k, v in t.items()} for t in TEAMS]
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock jumps to the next timer."""
 
@@ -65,8 +75,8 @@
     return asyncio.get_running_loop().time()
 
 
-def settings(index: int = 0, count: int = 3, **operator: Any) -> Settings:
-    """Settings of one of the world's controllers."""
+def settings(index: int = 0, count: int = 3, grown: bool = False) -> Settings:
+    """Settings of one of the world's controllers; grown: ten times the teams, small values."""
     names = [f"node-{i}" for i in range(count)]
     raw = {
         "node_name": names[index],
@@ -77,7 +87,7 @@
         "external": {"cloud": "cloud:1", "state": "state:1"},
         "deployment": {
             "zones": ZONES,
-            "teams": TEAMS,
+            "teams": teams(grown),
             "objectives": [{"kind": "wait", "class": "web", "within_s": 1.0, "share": 0.9}],
             "workers": {
                 "report_s": 2.0,
@@ -86,11 +96,16 @@
                 "gang_wait_s": 30.0,
                 "gang_peer_s": 4.0,
             },
-            "state": {"rps": 150.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 12},
+            "state": {
+                "rps": 150.0,
+                "write_rps": WRITE_RPS,
+                "value_kb": 2.0 if grown else 8.0,
+                "txn_ops": 12,
+            },
             "cloud": {"rps": 5.0, "list_lag_s": 3.0},
         },
     }
-    return Settings(msgspec.convert(raw, Platform), Operator(**operator))
+    return Settings(msgspec.convert(raw, Platform), Operator())
 
 
 def job(number: int, **fields: Any) -> dict[str, Any]:
@@ -238,7 +253,10 @@
         self.lease_ids = itertools.count(1)
         self.down = False
         self.refuses: set[str] = set()
+        self.slow_s = 0.0
         self.largest = 0
+        self.over = 0  # requests refused for the rate
+        self._tokens, self._at = WRITE_RPS, 0.0
 
     def _change(self, key: str, value: Any, lease: int | None) -> None:
         if value is None:
@@ -267,6 +285,8 @@
     async def handle(self, source: str, request: Request) -> Response:
         if self.down or source in self.refuses:
             return Response(503)
+        if self.slow_s:
+            await anyio.sleep(self.world.rng.uniform(0.0, 2 * self.slow_s))
         self.expire()
         url = urlsplit(request.path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
@@ -321,6 +341,12 @@
             if change.get("tenure") is not None and change["tenure"] not in self.leases:
                 return 400, {"error": "no such lease"}
         assert len(body["apply"]) <= 12 and len(body["guards"]) <= 48, "over the store's limits"
+        self._tokens = min(WRITE_RPS, self._tokens + (now() - self._at) * WRITE_RPS)
+        self._at = now()
+        if self._tokens < len(body["apply"]):
+            self.over += 1
+            return 429, {}
+        self._tokens -= len(body["apply"])
         failed = [
             g["key"] for g in body["guards"] if self.items.get(g["key"], (0, 0))[1] != g["edition"]
         ]
@@ -330,7 +356,7 @@
             self.revision += 1
         for change in body["apply"]:
             if "put" in change:
-                self.largest = max(self.largest, len(cbor2.dumps(change["v"])))
+                self.largest = max(self.largest, len(json.dumps(change["v"])))
                 self._change(change["put"], change["v"], change.get("tenure"))
             else:
                 self._change(change["drop"], None, None)
@@ -635,9 +661,10 @@
 class World:
     """Everything together, with the rules."""
 
-    def __init__(self, seed: int, count: int = 3) -> None:
+    def __init__(self, seed: int, count: int = 3, grown: bool = False) -> None:
         self.rng = Random(seed)
         self.count = count
+        self.grown = grown
         self.network = Network(self.rng)
         self.store = Store(self)
         self.cloud = Cloud(self)
@@ -668,7 +695,7 @@
 
         async def live() -> None:
             with anyio.CancelScope() as scope:
-                node = WorldController(self, settings(index, self.count))
+                node = WorldController(self, settings(index, self.count, self.grown))
                 self.nodes[node.node] = node
                 self._scopes[node.node] = scope
 
@@ -738,7 +765,7 @@
             told = self.cancelled_at.get(spec["id"])
             if told is not None and now() - told > 36.0:
                 self.breaks("ran_cancelled", task.name)
-        for team in TEAMS:
+        for team in teams(self.grown):
             if used[team["name"]] > team["cpus_max"] or gpus[team["name"]] > team.get(
                 "gpus_max", 0
             ):
