--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -535,6 +535,11 @@
                 key = (job.id, task)
                 if attempt.stop is not None or key in self._claims:
                     continue
+                sight = picture.sight(attempt.machine)
+                if sight is None or picture.age_s(sight) > picture.late_s:
+                    # Silent: it cannot be told, and is returned with all that is on it.  Seen
+                    # in a measured day: a change of the store for each replica there.
+                    continue
                 reason = picture.leaving(attempt.machine)
                 # Draining can take its time: one replica of a service after the other.
                 if not reason or (reason == "draining" and any(v.reason == reason for v in found)):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -553,3 +553,18 @@
     assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-1"}
     picture.now = 2.5
     assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-2"}
+
+
+def test_replicas_move_off_a_draining_machine_but_not_off_a_silent_one() -> None:
+    picture, planner, mirror, _ = scene()
+    service = accept(mirror, entries=2, form="service", rank="prod", loaners=False)
+    view = View(mirror)
+    start(view, service.id, [Placement(t, "vm-1", "north", 1) for t in (0, 1)], LIMITS)
+    commit(mirror, view)
+    service = mirror.jobs[service.id]
+    mirror.fleet["vm-1"] = Machine("small", "north", False, "draining", 0.0)
+    assert [v.machine for v in planner.moves([service])] == ["vm-1"]
+    planner = Planner(picture, Random(1))
+    picture.now = picture.late_s + 1.0
+    picture.tell("node-0", "vm-2", Seen("large", "south", False, 1, 0.0))
+    assert planner.moves([service]) == []
