--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -345,10 +345,12 @@
     def up_s(self, now: float) -> float:
         return now - self._started
 
-    def forget(self, held: Iterable[tuple[str, int]]) -> None:
-        """Only these sessions still hold committed starts."""
-        known = set(held)
-        self._began = {key: at for key, at in self._began.items() if key in known}
+    def holds(self, held: Iterable[tuple[str, int]], now: float) -> None:
+        """These sessions hold committed starts, so they have begun; others are forgotten.
+
+        To be told all the while, not only once a machine is silent: a proof counts from here.
+        """
+        self._began = {key: self._began.get(key, now) for key in held}
 
     def synced(self, sent: float, revision: int) -> None:
         """A reading sent then reached this revision."""
@@ -391,7 +393,7 @@
         # A machine that came up after a summary was made is missing there, and alive: only
         # what follows the beginning of its session counts.  Seen in a measured day, where a
         # task ran twice after a peer's word on a new machine came before its summary.
-        last = max(last, self._began.setdefault((machine, session), now))
+        last = max(last, self._began.get((machine, session), now))
         until = now
         for name in self._others:
             statement = self._statements.get(name)
--- a/src/sandladder/workers.py
+++ b/src/sandladder/workers.py
@@ -178,11 +178,10 @@
         """Attempts on machines that are gone, or whose lease has surely run out."""
         c = self._c
         found = []
-        held: set[tuple[str, int]] = set()
-        for machine in c.mirror.on_machine:
-            attempts = list(c.mirror.attempts_on(machine))
+        on_machine = {m: list(c.mirror.attempts_on(m)) for m in c.mirror.on_machine}
+        c.loss.holds({(m, a.session) for m, held in on_machine.items() for _, _, a in held}, now)
+        for machine, attempts in on_machine.items():
             sessions = {attempt.session for _, _, attempt in attempts}
-            held.update((machine, session) for session in sessions)
             listed = c.mirror.fleet.get(machine)
             sight = c.picture.sight(machine)
             if listed is not None and listed.state == "gone":
@@ -197,5 +196,4 @@
                 for job, task, attempt in attempts
                 if attempt.session in over
             ]
-        c.loss.forget(held)
         return found
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -299,7 +299,7 @@
         rng = Random(seed)
         proof = LossProof("a", ["a", "b", "c"], lease, 0.0)
         proof.observe({}, 0.0)
-        assert not proof.lost("vm", 1, 0.0)
+        proof.holds([("vm", 1)], 0.0)
         answers: list[float] = [0.0]
         last = {"b": 0.0, "c": 0.0}
         history: list[tuple[float, int]] = []
@@ -534,15 +534,22 @@
     summaries from before it was up; the task ran twice.
     """
     proof = LossProof("a", ["a", "b"], 10.0, 0.0)
-    assert not proof.lost("old", 1, 0.0)
+    proof.holds([("old", 1)], 0.0)
     for second in range(1, 51):
         now = float(second)
         proof.observe({"b": Summary(1, now, second - 1, {})}, now)
         proof.synced(now, second)
     assert proof.lost("old", 1, 50.0)
+    proof.holds([("old", 1), ("new", 1)], 50.0)
+    assert proof.lost("old", 1, 50.0)
     for second in range(50, 90):
         assert not proof.lost("new", 1, float(second))
-    proof.forget([("old", 1)])
+    # Once summaries are made long enough after its beginning, it is proved like any other.
+    for second in range(90, 102):
+        proof.observe({"b": Summary(1, second, second - 1, {})}, float(second))
+        proof.synced(float(second), second)
+    assert proof.lost("new", 1, 102.0)
+    proof.holds([("old", 1)], 102.0)
     assert not proof.lost("old", 2, 90.0)
 
 
