--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -58,6 +58,8 @@
     ) -> None:
         deployment = settings.platform.deployment
         self.settings = settings
+        for kind in settings.unknown_aims:
+            log.info("aims of the kind %s are not known and ignored", kind)
         self.node = settings.node
         self.nodes = settings.node_names
         self.rng = rng
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -43,6 +43,9 @@
 _FULL_COMMITS = 2
 # What a task alone on its machine takes of its job's record, with holes in what is done.
 _ITEM_BYTES = 32
+# The share of a job's record that is for what is live; the rest is for the job itself.
+_LIVE_SHARE = 0.7
+SPEC_SHARE = 0.28
 
 
 class Sight(NamedTuple):
@@ -384,7 +387,7 @@
         value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
         # A job's record holds an item for each batch of starts on a machine; what is live
         # at a time is bounded such that the record stays within the store's limit.
-        self.most_live = max(8, int(value_bytes * 0.7 / _ITEM_BYTES))
+        self.most_live = max(8, int(value_bytes * _LIVE_SHARE / _ITEM_BYTES))
 
     def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
         """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off.
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -52,6 +52,11 @@
     times: float = 1.0
 
 
+# The kinds of aims that the users state; those for a whole service are met by design alone.
+AIMS = {"wait", "finished", "deadline", "guarantee", "up", "submit", "useful", "price", "rules"}
+AIMS |= {"node_restarts"}
+
+
 class Workers(msgspec.Struct, frozen=True):
     """How workers behave in time."""
 
@@ -140,6 +145,11 @@
     def node(self) -> str:
         return self.platform.node_name
 
+    @property
+    def unknown_aims(self) -> list[str]:
+        """The kinds of aims that mean nothing to us."""
+        return sorted({aim.kind for aim in self.platform.deployment.objectives} - AIMS)
+
     @property
     def waits(self) -> dict[str, float]:
         """By class, the shortest time within which its tasks should start."""
@@ -199,6 +209,8 @@
             _positive(f"deployment.{type(group).__name__.lower()}.{name}", getattr(group, name))
     if d.state.txn_ops < 4:
         raise SettingsError("deployment.state.txn_ops: must be at least 4")
+    if d.state.value_kb < 2:
+        raise SettingsError("deployment.state.value_kb: must be at least 2 to hold a job's start")
     nodes = [platform.node_name, *(p.node_name for p in platform.peers)]
     if len(set(nodes)) != len(nodes):
         raise SettingsError("peers: node names must differ")
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from sandladder import wire
 from sandladder.http import Request, Response
@@ -24,6 +25,7 @@
     JobSpec,
 )
 from sandladder.peers import BUSY, Asked
+from sandladder.placement import SPEC_SHARE
 from sandladder.store import (
     P_USER,
     Change,
@@ -167,6 +169,8 @@
             if not self._c.mirror.types:
                 return Response(503, wire.error_body("the machine types are not known yet"), 1)
             problem = rejection(spec, self._c.mirror.types, self._c.picture.limits)
+            if problem is None and self._too_large(spec):
+                problem = "its description is too large to be kept"
             status = 422
         if problem is not None:
             # A job that was accepted stays so, whatever a later submission says.
@@ -192,6 +196,13 @@
         self._c.peers.poke({self._c.peers.owner(spec.team)})
         return Response(201, wire.job_status(job_id, "pending"))
 
+    def _too_large(self, spec: JobSpec) -> bool:
+        """Whether the job's record would leave no room for its starts."""
+        value_bytes = self._c.settings.platform.deployment.state.value_kb * 1024
+        return len(msgspec.json.encode(Job(spec, self._c.wall()).record())) > (
+            SPEC_SHARE * value_bytes
+        )
+
     @staticmethod
     def _apply_submit(view: View, spec: JobSpec, now: float) -> bool:
         submit(view, spec, now)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -358,6 +358,8 @@
         (good.replace("rps = 100", "rps = 0"), "state.rps"),
         (good.replace('"1.2.3.4:4"', '"nowhere"'), "external.state"),
         (good.replace("txn_ops = 12", ""), "txn_ops"),
+        (good.replace("txn_ops = 12", "txn_ops = 3"), "txn_ops"),
+        (good.replace("value_kb = 8.0", "value_kb = 1.9"), "value_kb"),
         ("= nonsense", "s.toml"),
     ):
         path.write_text(bad)
@@ -496,6 +498,7 @@
     deployment = msgspec.structs.replace(known.platform.deployment, objectives=aims)
     platform = msgspec.structs.replace(known.platform, deployment=deployment)
     assert Settings(platform).waits == {"web": 2.0}
+    assert Settings(platform).unknown_aims == ["never heard of"]
 
 
 def test_refusals_leave_most_of_the_write_rate() -> None:
