--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -578,3 +578,61 @@
     picture.now = picture.late_s + 1.0
     picture.tell("node-0", "vm-2", Seen("large", "south", False, 1, 0.0))
     assert planner.moves([service]) == []
+
+
+def started_gang() -> tuple[Mirror, Planner, Job]:
+    picture, planner, mirror, _ = scene()
+    found = accept(mirror, entries=3, form="group")
+    view = View(mirror)
+    start(view, found.id, [i.placement for i in planner.plan([found], {})], LIMITS)
+    commit(mirror, view)
+    for intent in list(picture.gate.pending.values()):
+        picture.gate.withdraw(intent)
+    return mirror, planner, mirror.jobs[found.id]
+
+
+@pytest.mark.parametrize("outcome", ["lost", "no_room"])
+def test_a_gang_that_lost_a_member_or_started_in_part_is_stopped_and_replanned(
+    outcome: str,
+) -> None:
+    mirror, planner, gang = started_gang()
+    first = gang.live[0].attempt
+    view = View(mirror)
+    assert end(view, [Ended(gang.id, 0, gang.live[0], outcome)])
+    commit(mirror, view)
+    gang = mirror.jobs[gang.id]
+    assert set(gang.live) == {1, 2} and all(a.stop == 0.0 for a in gang.live.values())
+    assert planner.plan([gang], {}) == []  # the old attempt is still there
+    view = View(mirror)
+    assert end(view, [Ended(gang.id, t, a, "stopped") for t, a in gang.live.items()])
+    commit(mirror, view)
+    gang = mirror.jobs[gang.id]
+    intents = planner.plan([gang], {})
+    assert len(intents) == 3 and gang.next_attempt == first + 1
+    view = View(mirror)
+    with pytest.raises(Refused):
+        start(view, gang.id, [i.placement for i in intents[:2]], LIMITS)
+
+
+def test_a_cancelled_gang_never_starts_again() -> None:
+    mirror, planner, gang = started_gang()
+    view = View(mirror)
+    cancel(view, gang.id)
+    commit(mirror, view)
+    gang = mirror.jobs[gang.id]
+    assert planner.plan([gang], {}) == []
+    view = View(mirror)
+    assert end(view, [Ended(gang.id, t, a, "stopped") for t, a in gang.live.items()])
+    commit(mirror, view)
+    assert mirror.finals[gang.id].state == "cancelled" and gang.id not in mirror.jobs
+
+
+def test_no_start_goes_past_a_teams_gpus() -> None:
+    mirror = Mirror()
+    found = accept(mirror, entries=5, gpus=1.0)
+    view = View(mirror)
+    start(view, found.id, [Placement(t, "vm-2", "south", 1) for t in range(4)], LIMITS)
+    commit(mirror, view)
+    view = View(mirror)
+    with pytest.raises(Refused):
+        start(view, found.id, [Placement(4, "vm-2", "south", 1)], LIMITS)
