--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -9,15 +9,9 @@
 from sandladder import wire
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View, change_fleet, put_types
-from sandladder.model import (
-    FLEET_ITEM_BYTES,
-    RENTER,
-    ListedMachine,
-    Machine,
-    MachineType,
-    machine_number,
-)
+from sandladder.model import ListedMachine, Machine, MachineType
 from sandladder.provision import Provisioner, Wish
+from sandladder.records import FLEET_ITEM_BYTES, RENTER, machine_number
 from sandladder.settings import split_addr
 from sandladder.store import P_USER, P_WORK, Change, NoLease, Renewal, Unavailable
 
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -11,6 +11,7 @@
 from sandladder import mesh, wire
 from sandladder.cloud import CloudClient, Renter
 from sandladder.delivery import Delivery
+from sandladder.eviction import Evictor, Victim
 from sandladder.hold import Hold
 from sandladder.http import Client, Connect, Server
 from sandladder.lifecycle import (
@@ -19,17 +20,13 @@
     View,
     stop,
 )
-from sandladder.model import (
-    JOB,
-    NODE,
-    TEAM,
-    TYPES,
-    Job,
-    Mirror,
-)
+from sandladder.mirror import Mirror
+from sandladder.model import Job
 from sandladder.peers import Peers
-from sandladder.placement import Picture, Planner, Victim
+from sandladder.picture import Picture
+from sandladder.placement import Planner
 from sandladder.premises import Gate, Outcome, Resource
+from sandladder.records import JOB, NODE, TEAM, TYPES
 from sandladder.settings import Settings, split_addr
 from sandladder.store import (
     P_WORK,
@@ -77,6 +74,7 @@
         self.gate = Gate()
         self.picture = Picture(settings, self.mirror, self.delivery, self.loss, self.gate)
         self.planner = Planner(self.picture, rng)
+        self.evictor = Evictor(self.planner)
         self.hold = Hold(self)
         self.peers = Peers(self)
         self.workers = Workers(self)
@@ -202,7 +200,7 @@
             admitted = self.planner.plan(self._owned(), self.work.barred)
             self.work.start(admitted)
             owned = self._owned()
-            for victim in self.planner.preempt(owned, self.work.barred) + self.planner.moves(owned):
+            for victim in self.evictor.preempt(owned, self.work.barred) + self.evictor.moves(owned):
                 self._commit_stop(victim)
             # Planning may take a quarter of our time; the more there is to do, the more
             # is done at once.
--- a/src/sandladder/delivery.py
+++ b/src/sandladder/delivery.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from sandladder.lifecycle import Ended
-from sandladder.model import Attempt, Command, Entry, Job, Mirror, Report
+from sandladder.mirror import Mirror
+from sandladder.model import Attempt, Command, Entry, Job, Report
 
 Key = tuple[str, int, int]  # job, task, attempt
 
--- /dev/null
+++ b/src/sandladder/eviction.py
@@ -0,0 +1,142 @@
+"""Running tasks to stop: lesser work for services that need room at once, and replicas to move.
+
+Pure: no I/O, no clock.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sandladder.lifecycle import zones_allowed
+from sandladder.model import ARRAY, GANG, PRODUCTION, SERVICE, Job
+from sandladder.picture import allowed, fits, less
+from sandladder.placement import Planner
+from sandladder.premises import Room
+
+
+class Victim(NamedTuple):
+    """A running task that is to make room."""
+
+    job: str
+    task: int
+    machine: str
+    grace_s: float
+    reason: str
+
+
+class Evictor:
+    """Chooses the tasks that are to make room or to move."""
+
+    def __init__(self, planner: Planner) -> None:
+        self._planner = planner
+        self._claims: dict[tuple[str, int], float] = {}  # stops are under way for these
+
+    def preempt(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Victim]:
+        """Running tasks of lower priority to stop for work that must start at once."""
+        picture = self._planner.picture
+        report_s = picture.settings.platform.deployment.workers.report_s
+        self._claims = {k: until for k, until in self._claims.items() if until > picture.now}
+        if not picture.mirror.types:
+            return []
+        boot_s = min(kind.boot_s for kind in picture.mirror.types.values())
+        victims: list[Victim] = []
+        chosen: set[tuple[str, int]] = set()
+        for job in sorted(owned, key=lambda j: (-j.spec.priority, j.submitted)):
+            spec = job.spec
+            within = self._planner.waits.get(spec.cls)
+            # Where a machine boots in time for the aim, nothing is stopped.
+            urgent = spec.priority >= PRODUCTION and within is not None and within < boot_s
+            if not urgent or within is None or spec.kind == GANG or not job.waiting:
+                continue
+            if barred.get(job.id, 0.0) > picture.now:
+                continue
+            left_cpus, left_gpus = picture.team_left(spec.team)
+            for task in job.pending():
+                key = (job.id, task)
+                if left_cpus < spec.cpus or left_gpus < spec.gpus:
+                    break
+                left_cpus -= spec.cpus
+                left_gpus -= spec.gpus
+                if key in self._claims or key in picture.gate.pending:
+                    continue
+                found = self._victims(job, within, chosen)
+                if found is None:
+                    break
+                self._claims[key] = picture.now + 2 * report_s
+                chosen.update((v.job, v.task) for v in found)
+                victims += found
+        return victims
+
+    def moves(self, owned: Iterable[Job]) -> list[Victim]:
+        """Replicas to move off machines that are about to go, once there is room elsewhere."""
+        picture = self._planner.picture
+        report_s = picture.settings.platform.deployment.workers.report_s
+        rooms: dict[str, Room] | None = None
+        found: list[Victim] = []
+        for job in owned:
+            spec = job.spec
+            if spec.kind != SERVICE or job.cancelled:
+                continue
+            for task, attempt in job.live.items():
+                key = (job.id, task)
+                if attempt.stop is not None or key in self._claims:
+                    continue
+                sight = picture.sight(attempt.machine)
+                if sight is None or picture.age_s(sight) > picture.late_s:
+                    # Silent: it cannot be told, and is returned with all that is on it.  Seen
+                    # in a measured day: a change of the store for each replica there.
+                    continue
+                reason = picture.leaving(attempt.machine)
+                # Draining can take its time: one replica of a service after the other.
+                if not reason or (reason == "draining" and any(v.reason == reason for v in found)):
+                    continue
+                if rooms is None:
+                    rooms = picture.usable_rooms()
+                zones = [a.zone for t, a in job.live.items() if t != task]
+                places = self._planner.choose(spec, rooms, zones, 1)
+                if not places:
+                    continue
+                rooms[places[0].id] = less(places[0], spec)
+                self._claims[key] = picture.now + 2 * report_s
+                grace = 1.5 * spec.save_s
+                found.append(Victim(job.id, task, attempt.machine, grace, reason))
+        return found
+
+    def _victims(
+        self, job: Job, within_s: float, chosen: set[tuple[str, int]]
+    ) -> list[Victim] | None:
+        """The cheapest set of tasks on one machine whose end makes room for a task."""
+        picture, spec = self._planner.picture, job.spec
+        zones = [attempt.zone for attempt in job.live.values()]
+        best: tuple[float, list[Victim]] | None = None
+        for machine, room in picture.usable_rooms().items():
+            if not allowed(spec, room):
+                continue
+            if not zones_allowed(spec, [*zones, room.zone]):
+                continue
+            cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
+            if any(a.stop is not None for _, _, a in picture.mirror.attempts_on(machine)):
+                continue  # room is being made there already
+            cost = 2 * picture.fetch_s(spec, room)
+            found: list[Victim] = []
+            running = sorted(
+                picture.mirror.attempts_on(machine),
+                key=lambda item: (item[0].spec.priority, -item[2].attempt, -item[1]),
+            )
+            for other, task, _ in running:
+                if fits(spec, cpus, gpus, memory):
+                    break
+                lesser = other.spec
+                if lesser.priority >= spec.priority or lesser.kind != ARRAY:
+                    continue
+                if (other.id, task) in chosen:
+                    continue
+                cpus += lesser.cpus
+                gpus += lesser.gpus
+                memory += lesser.memory_gb
+                saves = lesser.checkpoint_s > 0 and 2 * lesser.save_s < within_s
+                grace = 1.5 * lesser.save_s if saves else 0.0
+                cost += (lesser.estimate_s * lesser.cpus / spec.cpus) * (0.2 if saves else 1.0)
+                found.append(Victim(other.id, task, machine, grace, job.id))
+            if found and fits(spec, cpus, gpus, memory) and (best is None or cost < best[0]):
+                best = cost, found
+        return best[1] if best else None
--- a/src/sandladder/hold.py
+++ b/src/sandladder/hold.py
@@ -11,11 +11,8 @@
     View,
     put_summary,
 )
-from sandladder.model import (
-    TERM,
-    Seen,
-    Summary,
-)
+from sandladder.model import Seen, Summary
+from sandladder.records import TERM
 from sandladder.store import (
     P_HOLD,
     P_USER,
--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -10,28 +10,31 @@
 
 import msgspec
 
+from sandladder.mirror import Mirror
 from sandladder.model import (
     CANCELLED,
     DONE,
-    FINAL,
-    FLEET,
     GANG,
-    JOB,
-    NODE,
-    RENTER,
     SERVICE,
-    TEAM,
-    TYPES,
     Attempt,
     Final,
     Job,
     JobSpec,
     Machine,
     MachineType,
-    Mirror,
     Summary,
     Team,
+)
+from sandladder.records import (
+    FINAL,
+    FLEET,
+    JOB,
+    NODE,
+    RENTER,
+    TEAM,
+    TYPES,
     fleet_value,
+    job_value,
     machine_number,
     pack_summary,
 )
@@ -104,7 +107,8 @@
     def changes(self) -> list[tuple[str, Any, int | None]]:
         """(key, value or None for a delete, lease) of everything changed."""
         found: list[tuple[str, Any, int | None]] = [
-            (JOB + job_id, job.record() if job else None, None) for job_id, job in self.jobs.items()
+            (JOB + job_id, job_value(job) if job else None, None)
+            for job_id, job in self.jobs.items()
         ]
         found += [(TEAM + name, list(team), None) for name, team in self.teams.items()]
         found += [(FINAL + job_id, list(final), None) for job_id, final in self.finals.items()]
--- /dev/null
+++ b/src/sandladder/picture.py
@@ -0,0 +1,344 @@
+"""The picture of the machines: what is known of each, how old that is, and what room it leaves.
+
+The picture is late by nature: it joins the records, the other controllers' summaries and
+the reports that came to us.  What is decided on it is checked again before it is committed
+(see premises).  Pure: no I/O, no clock.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sandladder.delivery import Delivery, Dialogue
+from sandladder.lifecycle import Ended, LossProof, Placement
+from sandladder.mirror import Mirror
+from sandladder.model import Attempt, Job, JobSpec, Machine, MachineType, Seen, Summary, Team
+from sandladder.premises import Gate, Resource, Room
+from sandladder.records import JOB, TEAM
+from sandladder.settings import Settings, TeamLimits
+
+# A machine on which so many different jobs failed in a row is not trusted with more.  One
+# job alone proves nothing: it may fail everywhere.
+SICK_ERRORS = 2
+
+
+class Sight(NamedTuple):
+    """The best word on a machine: what it is, who says so, and as of when."""
+
+    seen: Seen
+    clerk: str
+    at: float
+
+
+class Images:
+    """Which images a machine has, from the starts that the records show."""
+
+    def __init__(self) -> None:
+        self._held: dict[tuple[str, int], OrderedDict[str, tuple[float, float]]] = {}
+
+    def touch(
+        self, machine: str, session: int, spec: JobSpec, rate: float, cache_gb: float, now: float
+    ) -> None:
+        """A task that needs this image was put there."""
+        held = self._held.setdefault((machine, session), OrderedDict())
+        if spec.image in held:
+            held.move_to_end(spec.image)
+            return
+        held[spec.image] = (spec.image_gb, now + spec.image_gb / max(rate, 1e-6))
+        while len(held) > 1 and sum(gb for gb, _ in held.values()) > cache_gb:
+            held.popitem(last=False)
+
+    def wait_s(self, machine: str, session: int, image: str, now: float) -> float | None:
+        """How long until the image is there, or None if it must be fetched first."""
+        held = self._held.get((machine, session))
+        if held is None or image not in held:
+            return None
+        return max(0.0, held[image][1] - now)
+
+    def names(self, machine: str, session: int) -> list[str]:
+        return list(self._held.get((machine, session), ()))
+
+    def keep(self, machines: Iterable[str]) -> None:
+        """Forget machines that are gone."""
+        known = set(machines)
+        for key in [k for k in self._held if k[0] not in known]:
+            del self._held[key]
+
+
+class Picture:
+    """The current picture; evidence for the gate and ground for planning."""
+
+    def __init__(
+        self, settings: Settings, mirror: Mirror, delivery: Delivery, loss: LossProof, gate: Gate
+    ) -> None:
+        self.settings = settings
+        self.mirror = mirror
+        self.delivery = delivery
+        self.loss = loss
+        self.gate = gate
+        gate.on_move = self._moved
+        self.images = Images()
+        self.now = 0.0
+        self.limits = {t.name: t for t in settings.platform.deployment.teams}
+        self._touched: dict[str, int] = {}
+        self._sights: dict[str, Sight] = {}
+        self._doubts: dict[str, float] = {}  # machines that refused a start, and until when
+        self._told: dict[str, Summary] = {}  # the summaries that were taken in
+        # What is left on machines, worked out again only where something changed.
+        self._left: dict[str, tuple[float, float, float]] = {}
+        # Attempts that are surely over while their end is not committed yet: their room is free.
+        self.over: dict[str, set[tuple[str, int, int]]] = {}
+        workers = settings.platform.deployment.workers
+        # A report may be a quarter late; past two of them the machine is in doubt.
+        self.fresh_s = 2.5 * workers.report_s
+        self.summary_s = summary_period_s(settings)
+        self.late_s = self.fresh_s + self.summary_s
+
+    # Evidence
+
+    def heard(self, dialogue: Dialogue) -> None:
+        """Take in what a machine reported to us."""
+        report, notice = dialogue.report, dialogue.notice_at
+        seen = Seen(
+            type=report.type,
+            zone=report.zone,
+            spot=report.spot,
+            session=report.session,
+            age_s=0.0,
+            notice_s=None if notice is None else notice - self.now,
+            errors=len(dialogue.failed),
+        )
+        self._see(report.machine, Sight(seen, self.settings.node, dialogue.heard_at))
+
+    def observe(self) -> None:
+        """Take in the summaries that are new."""
+        for node, summary, observed in self.loss.statements():
+            if self._told.get(node) is summary:
+                continue
+            self._told[node] = summary
+            for machine, seen in summary.machines.items():
+                self._see(machine, Sight(seen, node, observed - seen.age_s))
+
+    def tell(self, node: str, machine: str, seen: Seen) -> None:
+        """Take in a peer's word on one machine."""
+        self._see(machine, Sight(seen, node, self.now - seen.age_s))
+
+    def _see(self, machine: str, new: Sight) -> None:
+        old = self._sights.get(machine)
+        if old is not None:
+            if (new.seen.session, new.at) < (old.seen.session, old.at):
+                return
+            if not new.seen.images and new.seen.session == old.seen.session:
+                new = new._replace(seen=new.seen._replace(images=old.seen.images))
+        self._sights[machine] = new
+
+    def sight(self, machine: str) -> Sight | None:
+        """The freshest word on a machine."""
+        return self._sights.get(machine)
+
+    def age_s(self, sight: Sight) -> float:
+        return self.now - sight.at
+
+    def machines(self) -> Iterable[str]:
+        """All machines that anyone has heard of lately."""
+        return self._sights.keys()
+
+    def room(self, machine: str) -> Room | None:
+        sight = self._sights.get(machine)
+        if sight is None:
+            return None
+        seen = sight.seen
+        kind = self.mirror.types.get(seen.type)
+        if kind is None:
+            return None
+        left = self._left.get(machine)
+        if left is None:
+            left = self._left[machine] = self._count(machine, kind)
+        late = self.fresh_s if sight.clerk == self.settings.node else self.late_s
+        listed = self.mirror.fleet.get(machine)
+        usable = (
+            self.now - sight.at <= late
+            and seen.notice_s is None
+            and seen.errors < SICK_ERRORS
+            and self._doubts.get(machine, 0.0) <= self.now
+            and (listed is None or listed.state not in ("draining", "gone"))
+        )
+        return Room(
+            machine, seen.type, seen.zone, seen.spot, seen.session, sight.clerk, *left, usable
+        )
+
+    def _count(self, machine: str, kind: MachineType) -> tuple[float, float, float]:
+        """What is left there next to committed and pending starts."""
+        cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
+        over = self.over.get(machine, ())
+        for job, task, attempt in self.mirror.attempts_on(machine):
+            if (job.id, task, attempt.attempt) in over:
+                continue
+            cpus -= job.spec.cpus
+            gpus -= job.spec.gpus
+            memory -= job.spec.memory_gb
+        for intent in self.gate.on_machine(machine):
+            cpus -= intent.spec.cpus
+            gpus -= intent.spec.gpus
+            memory -= intent.spec.memory_gb
+        return cpus, gpus, memory
+
+    def _moved(self, machine: str) -> None:
+        self._left.pop(machine, None)
+
+    def recount(self) -> None:
+        """What machines can hold may have changed."""
+        self._left.clear()
+
+    def note_over(self, item: Ended) -> None:
+        """An attempt is surely over: what it held can be given away before that is committed."""
+        machine = item.attempt.machine
+        key = (item.job, item.task, item.attempt.attempt)
+        if key not in self.over.setdefault(machine, set()):
+            self.over[machine].add(key)
+            self.touch(machine)
+
+    def doubt(self, machine: str, for_s: float) -> None:
+        """It refused a start for want of room: something is there that we do not know of.
+
+        Seen in a measured day: the same machine was chosen again a dozen times.
+        """
+        self._doubts[machine] = self.now + for_s
+
+    def freed(self, machine: str) -> bool:
+        """Whether nothing runs there any more, committed or not."""
+        over = self.over.get(machine, ())
+        return all(
+            (job.id, task, attempt.attempt) in over
+            for job, task, attempt in self.mirror.attempts_on(machine)
+        )
+
+    def usable_rooms(self) -> dict[str, Room]:
+        """All machines that can be given work."""
+        rooms = {}
+        for machine in self._sights:
+            room = self.room(machine)
+            if room is not None and room.usable:
+                rooms[machine] = room
+        return rooms
+
+    def leaving(self, machine: str) -> str:
+        """Why a machine is about to go, or an empty text."""
+        listed = self.mirror.fleet.get(machine)
+        if listed is not None and listed.state == "draining":
+            return "draining"
+        sight = self.sight(machine)
+        return "notice" if sight is not None and sight.seen.notice_s is not None else ""
+
+    def job(self, job_id: str) -> Job | None:
+        return self.mirror.jobs.get(job_id)
+
+    def team_left(self, team: str) -> tuple[float, float]:
+        limits = self.limits.get(team, TeamLimits(team))
+        held = self.mirror.teams.get(team, Team())
+        return limits.cpus_max - held.cpus, limits.gpus_max - held.gpus
+
+    def version(self, resource: Resource) -> int:
+        kind, name = resource
+        if kind == "machine":
+            return self._touched.get(name, 0)
+        if kind == "team":
+            return self.mirror.version(TEAM + name)
+        return self.mirror.version(JOB + name.partition("/")[0])
+
+    # Changes
+
+    def touch(self, machine: str) -> None:
+        """Something about this machine changed."""
+        self._touched[machine] = self._touched.get(machine, 0) + 1
+        self._left.pop(machine, None)
+
+    def note_start(self, spec: JobSpec, attempt: Attempt) -> None:
+        """Learn from a committed start which image its machine has or fetches."""
+        known = self.mirror.fleet.get(attempt.machine)
+        sight = self.sight(attempt.machine)
+        name = sight.seen.type if sight else known.type if known else ""
+        kind = self.mirror.types.get(name)
+        if kind is not None:
+            self.images.touch(
+                attempt.machine,
+                attempt.session,
+                spec,
+                kind.fetch_gb_per_s,
+                kind.cache_gb,
+                self.now,
+            )
+
+    def forget(self) -> None:
+        """Drop what is known of machines that nobody speaks of any more."""
+        longest = 4 * self.settings.platform.deployment.workers.lease_s
+        for machine in [m for m, s in self._sights.items() if self.now - s.at > longest]:
+            del self._sights[machine]
+        known = self._sights.keys() | self.mirror.fleet.keys() | self.mirror.on_machine.keys()
+        self.images.keep(known)
+        self._touched = {m: v for m, v in self._touched.items() if m in known}
+        self._left = {m: v for m, v in self._left.items() if m in known}
+        self._doubts = {m: t for m, t in self._doubts.items() if t > self.now}
+        for machine in list(self.over):
+            held = {(j.id, task, a.attempt) for j, task, a in self.mirror.attempts_on(machine)}
+            self.over[machine] &= held
+            if not self.over[machine]:
+                del self.over[machine]
+
+    def fetch_wait_s(self, spec: JobSpec, placement: Placement) -> float:
+        """How long a placed task still waits for its image."""
+        wait = self.images.wait_s(placement.machine, placement.session, spec.image, self.now)
+        return 0.0 if wait is None else wait
+
+    def fetch_s(self, spec: JobSpec, room: Room) -> float:
+        """How long a task would wait for its image there."""
+        wait = self.images.wait_s(room.id, room.session, spec.image, self.now)
+        if wait is not None:
+            return wait
+        sight = self.sight(room.id)
+        if sight is not None and spec.image in sight.seen.images:
+            return 0.0
+        kind = self.mirror.types[room.type]
+        return spec.image_gb / max(kind.fetch_gb_per_s, 1e-6)
+
+
+def summary_period_s(settings: Settings) -> float:
+    """How often a controller writes its room summary.
+
+    All summaries together may take a twentieth of what the store accepts.
+    """
+    deployment = settings.platform.deployment
+    least = len(settings.node_names) / (deployment.state.write_rps / 20)
+    return max(settings.operator.summary_reports * deployment.workers.report_s, least)
+
+
+def allowed(spec: JobSpec, room: Room | Machine) -> bool:
+    """Whether the job's own wishes allow this machine."""
+    return (
+        (spec.types is None or room.type in spec.types)
+        and (spec.zone is None or room.zone == spec.zone)
+        and (spec.spot or not room.spot)
+    )
+
+
+def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> bool:
+    """Whether a task fits into this much room."""
+    slack = 1e-6
+    return (
+        spec.cpus <= cpus + slack
+        and spec.gpus <= gpus + slack
+        and spec.memory_gb <= memory_gb + slack
+    )
+
+
+def holds(room: Room, spec: JobSpec) -> bool:
+    return fits(spec, room.cpus, room.gpus, room.memory_gb)
+
+
+def less(room: Room, spec: JobSpec) -> Room:
+    """What is left of a machine's room with one task more."""
+    return room._replace(
+        cpus=room.cpus - spec.cpus,
+        gpus=room.gpus - spec.gpus,
+        memory_gb=room.memory_gb - spec.memory_gb,
+    )
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -20,7 +20,8 @@
     MachineType,
     Team,
 )
-from sandladder.placement import SICK_ERRORS, Picture, allowed, order_key
+from sandladder.picture import SICK_ERRORS, Picture, allowed
+from sandladder.placement import order_key
 from sandladder.premises import Room
 from sandladder.settings import TeamLimits
 
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -12,7 +12,9 @@
 from sandladder import wire
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View
-from sandladder.model import PREFIXES, PRODUCTION, ROOT, JobSpec, Mirror
+from sandladder.mirror import Mirror
+from sandladder.model import PRODUCTION, JobSpec
+from sandladder.records import PREFIXES, ROOT
 from sandladder.settings import State
 
 log = logging.getLogger(__name__)
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -16,16 +16,10 @@
     rejection,
     submit,
 )
-from sandladder.model import (
-    CANCELLED,
-    DONE,
-    FINAL,
-    Final,
-    Job,
-    JobSpec,
-)
+from sandladder.model import CANCELLED, DONE, Final, Job, JobSpec
 from sandladder.peers import BUSY, Asked
 from sandladder.placement import SPEC_SHARE
+from sandladder.records import FINAL, job_value
 from sandladder.store import (
     P_USER,
     Change,
@@ -199,7 +193,7 @@
     def _too_large(self, spec: JobSpec) -> bool:
         """Whether the job's record would leave no room for its starts."""
         value_bytes = self._c.settings.platform.deployment.state.value_kb * 1024
-        return len(msgspec.json.encode(Job(spec, self._c.wall()).record())) > (
+        return len(msgspec.json.encode(job_value(Job(spec, self._c.wall())))) > (
             SPEC_SHARE * value_bytes
         )
 
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -12,8 +12,9 @@
 
 from sandladder import mesh
 from sandladder.lifecycle import Ended, Refused, View, end, start
-from sandladder.model import ARRAY, HIGH, JOB
+from sandladder.model import ARRAY, HIGH
 from sandladder.premises import Intent, Outcome
+from sandladder.records import JOB
 from sandladder.settings import TeamLimits
 from sandladder.store import P_START, P_WORK, Change, work_priority
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,62 @@
+"""Which machine for a task, and which tasks make room or move."""
+
+from helpers import LIMITS, accept, commit, scene
+from sandladder.eviction import Evictor
+from sandladder.lifecycle import Ended, Placement, View, end, start
+from sandladder.model import Machine, Seen
+
+
+def test_room_of_a_proved_end_is_free_before_it_is_committed() -> None:
+    picture, planner, mirror, _ = scene()
+    found = accept(mirror, entries=2)
+    view = View(mirror)
+    start(view, found.id, [Placement(0, "vm-1", "north", 1)], LIMITS)
+    commit(mirror, view)
+    picture.touch("vm-1")
+    before = picture.room("vm-1")
+    attempt = mirror.jobs[found.id].live[0]
+    ended = Ended(found.id, 0, attempt, "done")
+    picture.note_over(ended)
+    after = picture.room("vm-1")
+    assert before and after and after.cpus == before.cpus + found.spec.cpus
+    assert picture.freed("vm-1")
+    view = View(mirror)
+    assert end(view, [ended])
+    commit(mirror, view)
+    picture.touch("vm-1")
+    picture.forget()
+    again = picture.room("vm-1")
+    assert again and again.cpus == after.cpus and not picture.over
+
+
+def test_small_jobs_are_placed_in_spread_and_one_zone() -> None:
+    picture, planner, mirror, _ = scene()
+    spread = accept(mirror, number=1, entries=4, apart=True)
+    zones = [i.placement.zone for i in planner.plan([spread], {})]
+    assert sorted(zones) == ["north", "north", "south", "south"]
+    together = accept(mirror, number=2, entries=5, same_place=True, form="group")
+    zones = [i.placement.zone for i in planner.plan([together], {})]
+    assert zones == ["south"] * 5
+
+
+def test_a_machine_that_refused_a_start_is_left_alone_for_a_while() -> None:
+    picture, planner, mirror, _ = scene()
+    picture.doubt("vm-2", 2.0)
+    found = accept(mirror, entries=8)
+    assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-1"}
+    picture.now = 2.5
+    assert {i.placement.machine for i in planner.plan([found], {})} == {"vm-2"}
+
+
+def test_replicas_move_off_a_draining_machine_but_not_off_a_silent_one() -> None:
+    picture, planner, mirror, _ = scene()
+    service = accept(mirror, entries=2, form="service", rank="prod", loaners=False)
+    view = View(mirror)
+    start(view, service.id, [Placement(t, "vm-1", "north", 1) for t in (0, 1)], LIMITS)
+    commit(mirror, view)
+    service = mirror.jobs[service.id]
+    mirror.fleet["vm-1"] = Machine("small", "north", False, "draining", 0.0)
+    assert [v.machine for v in Evictor(planner).moves([service])] == ["vm-1"]
+    picture.now = picture.late_s + 1.0
+    picture.tell("node-0", "vm-2", Seen("large", "south", False, 1, 0.0))
+    assert Evictor(planner).moves([service]) == []
