--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from sandladder.placement import SICK_ERRORS
+from sandladder.picture import SICK_ERRORS
 from world import World, job, now, run
 
 Trouble = Callable[[World], Awaitable[None]]
