--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Mapping
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -21,6 +22,10 @@
 log = logging.getLogger(__name__)
 
 
+# A fleet record may take so many values, where values are short.
+_FLEET_PARTS = 4
+
+
 class CloudError(Exception):
     """The cloud gave no usable answer."""
 
@@ -111,6 +116,8 @@
                 log.info("renting pauses: %s", error)
 
     async def _learn_types(self) -> None:
+        if not self._c.mirror.term:
+            return  # the first to enter says which form the records begin with
         if self._c.mirror.types and (self._held is None or anyio.current_time() < self._next_types):
             return
         types = await self._c.cloud.catalog()
@@ -203,26 +210,32 @@
         self._news.update(records)
 
     async def _write(self) -> None:
-        """Write what changed in one change; binds that the duty is still ours.
+        """Write what changed; binds that the duty is still ours.
 
-        The store takes few changes: what a round of this duty learns goes together.
+        The store takes few changes: what a round of this duty learns goes together, as much
+        as one transaction can hold.
         """
-        chunks = sorted({machine_number(machine) // self._chunk_size for machine in self._news})
-        most = max(1, self._c.settings.platform.deployment.state.txn_ops // 2)
-        chosen = set(chunks[:most])  # what one transaction can hold; the rest goes next time
-        news = {
-            m: r for m, r in self._news.items() if machine_number(m) // self._chunk_size in chosen
-        }
-        for machine in news:
-            del self._news[machine]
-        if news:
+        while self._news:
+            chunks = sorted({machine_number(machine) // self._chunk_size for machine in self._news})
+            chosen = set(chunks[: max(1, self._c.limits.txn_ops // _FLEET_PARTS)])
+            news = {
+                machine: record
+                for machine, record in self._news.items()
+                if machine_number(machine) // self._chunk_size in chosen
+            }
+            for machine in news:
+                del self._news[machine]
             change = Change(
                 "fleet",
                 P_USER,  # the room for others' work and proofs of loss wait for it
                 len(chosen),
-                lambda view: change_fleet(view, news, self._chunk_size),
+                partial(change_fleet, news=news, chunk_size=self._chunk_size),
             )
-            await self._c.committer.add(change).wait()
+            try:
+                await self._c.committer.add(change).wait()
+            except Refused:
+                self._news = news | self._news
+                raise
 
     def _record(self, machine: str) -> Machine | None:
         """A machine's record, with what is about to be written."""
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -12,6 +12,7 @@
 from sandladder.cloud import CloudClient, Renter
 from sandladder.delivery import Delivery
 from sandladder.eviction import Evictor, Victim
+from sandladder.following import Following
 from sandladder.hold import Hold
 from sandladder.http import Client, Connect, Server
 from sandladder.lifecycle import (
@@ -20,13 +21,14 @@
     View,
     stop,
 )
+from sandladder.limits import Limits
 from sandladder.mirror import Mirror
 from sandladder.model import Job
 from sandladder.peers import Peers
 from sandladder.picture import Picture
 from sandladder.placement import Planner
 from sandladder.premises import Gate, Outcome, Resource
-from sandladder.records import JOB, NODE, TEAM, TYPES
+from sandladder.records import FINAL, JOB, NODE, TEAM, TYPES
 from sandladder.settings import Settings, split_addr
 from sandladder.store import (
     P_WORK,
@@ -36,6 +38,8 @@
     StateClient,
     Watch,
 )
+from sandladder.teams import Teams
+from sandladder.upgrade import Upgrade
 from sandladder.users import Users
 from sandladder.work import Work
 from sandladder.workers import Workers
@@ -71,21 +75,33 @@
         self.mirror = Mirror()
         self.delivery = Delivery()
         self.loss = LossProof(self.node, self.nodes, self.lease_s, anyio.current_time())
+        self.limits = Limits(deployment.state, self.mirror)
         self.gate = Gate()
         self.picture = Picture(settings, self.mirror, self.delivery, self.loss, self.gate)
-        self.planner = Planner(self.picture, rng)
+        self.planner = Planner(self.picture, self.limits, rng)
         self.evictor = Evictor(self.planner)
         self.hold = Hold(self)
+        self.teams = Teams(self)
         self.peers = Peers(self)
         self.workers = Workers(self)
         self.users = Users(self)
         self.work = Work(self)
+        self.following = Following(self)
+        self.upgrade = Upgrade(self)
         host, port = split_addr(settings.platform.external.state)
         self.state = StateClient(
             connect(host, port, keep=6), deployment.state, self.state_timeout_s
         )
         self.watch = Watch(self.state, self.mirror, len(self.nodes), self._changed, self._synced)
-        self.committer = Committer(self.state, self.mirror, self.watch, rng, self._changed)
+        self.committer = Committer(
+            self.state,
+            self.mirror,
+            self.watch,
+            rng,
+            self._changed,
+            self.limits,
+            trust_s=8 * self.lease_s,
+        )
         host, port = split_addr(settings.platform.external.cloud)
         self.cloud = CloudClient(connect(host, port, keep=2), timeout=self.lease_s / 3)
         self.renter = Renter(self)
@@ -102,6 +118,9 @@
                 self.committer.run,
                 self.hold.run,
                 self.hold.summarise,
+                self.upgrade.run,
+                self.teams.run,
+                self.following.run,
                 self._plan,
                 self.workers.sweep,
                 self._tell,
@@ -150,7 +169,7 @@
         """The records changed: check the premises that this reaches, and deliver."""
         now = self.picture.now = anyio.current_time()
         if any(key.startswith(NODE) for key in keys):
-            self.loss.observe(self.mirror.nodes, now)
+            self.loss.observe(self.mirror.nodes, now, self.mirror.opaque)
             self.picture.observe()
         if TYPES in keys:
             self.picture.recount()
@@ -166,7 +185,7 @@
             if job is not None and task in job.live:
                 self.picture.note_start(job.spec, job.live[task])
         for key in keys:
-            if key.startswith(JOB):
+            if key.startswith((JOB, FINAL)):
                 resources.append(("job", key[len(JOB) :]))
             elif key.startswith(TEAM):
                 resources.append(("team", key[len(TEAM) :]))
@@ -180,13 +199,14 @@
             dialogue = self.delivery.machines.get(machine)
             if dialogue is not None:
                 self.workers.push(dialogue)
+        self.following.due.set()
         self.plan_due.set()
 
     def _owned(self) -> list[Job]:
         mine = {
             team.name
             for team in self.settings.platform.deployment.teams
-            if self.peers.owner(team.name) == self.node
+            if self.teams.places(team.name)
         }
         return [job for job in self.mirror.jobs.values() if job.spec.team in mine]
 
--- a/src/sandladder/delivery.py
+++ b/src/sandladder/delivery.py
@@ -9,6 +9,7 @@
 from sandladder.lifecycle import Ended
 from sandladder.mirror import Mirror
 from sandladder.model import Attempt, Command, Entry, Job, Report
+from sandladder.records import JOB
 
 Key = tuple[str, int, int]  # job, task, attempt
 
@@ -140,6 +141,8 @@
                 continue
             key = (job.id, task, attempt.attempt)
             wanted.add(key)
+            if JOB + job.id in mirror.unreadable:
+                continue  # what is to become of it cannot be told
             entry = dialogue.entries.get(key)
             grace = _grace(job, attempt)
             if entry is None:
@@ -155,7 +158,7 @@
                 stops.append(Command("stop", *key, grace_s=grace))
         dialogue.seen &= wanted | dialogue.entries.keys()
         for key, entry in dialogue.entries.items():
-            if key in wanted:
+            if key in wanted or JOB + entry.job in mirror.unreadable:
                 continue
             if entry.state != "exited":
                 stops.append(Command("stop", *key))
--- a/src/sandladder/eviction.py
+++ b/src/sandladder/eviction.py
@@ -47,6 +47,8 @@
             urgent = spec.priority >= PRODUCTION and within is not None and within < boot_s
             if not urgent or within is None or spec.kind == GANG or not job.waiting:
                 continue
+            if not picture.mirror.pipelines.ready(job):
+                continue
             if barred.get(job.id, 0.0) > picture.now:
                 continue
             left_cpus, left_gpus = picture.team_left(spec.team)
--- /dev/null
+++ b/src/sandladder/following.py
@@ -0,0 +1,101 @@
+"""The duty that lets jobs follow those that they need: released, or cancelled with them."""
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sandladder.lifecycle import Refused, View, cancel
+from sandladder.records import FINAL, read_final
+from sandladder.store import P_USER, Change, Signal, Unavailable
+
+if TYPE_CHECKING:
+    from sandladder.control import Controller
+
+log = logging.getLogger(__name__)
+
+# Records of finished jobs that are read at a time.
+_AT_ONCE = 4
+
+
+class Following:
+    """Reads what awaited jobs came to, and cancels the jobs that can never start.
+
+    Everything is derived from the records: whoever lives finishes it, after any crash.
+    """
+
+    def __init__(self, controller: "Controller") -> None:
+        self._c = controller
+        self.due = Signal()
+        self._doomed_since: dict[str, float] = {}
+        self._under_way: set[str] = set()
+        self._missing: dict[str, float] = {}  # of which nothing was found, and when to look again
+
+    async def run(self) -> None:
+        c = self._c
+        while True:
+            await self.due.wait(c.report_s / 4)
+            if not c.watch.loaded:
+                continue
+            try:
+                now = anyio.current_time()
+                names = c.mirror.pipelines.unknown()
+                await self.resolve([n for n in names if self._missing.get(n, now) <= now])
+            except Unavailable as error:
+                log.debug("what awaited jobs came to cannot be read: %s", error)
+                await anyio.sleep(c.report_s / 4)
+            if c.hold.alive():
+                self._cancel_doomed()
+
+    async def resolve(self, names: list[str]) -> None:
+        """Read what these jobs came to; they are not live."""
+        left = list(names)
+
+        async def read() -> None:
+            while left:
+                await self._read(left.pop())
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(min(_AT_ONCE, len(left))):
+                tasks.start_soon(read)
+
+    async def _read(self, name: str) -> None:
+        mirror = self._c.mirror
+        stored = await self._c.state.get(FINAL + name)
+        if stored is not None:
+            mirror.remember(name, read_final(*stored))
+            self._missing.pop(name, None)
+            self._c.plan_due.set()
+        elif name not in mirror.jobs:
+            # Named by an accepted job, so accepted, and gone: what needs it stays closed.
+            if name not in self._missing:
+                log.error("nothing is known of %s, which others wait for", name)
+            self._missing[name] = anyio.current_time() + self._c.lease_s
+
+    def _cancel_doomed(self) -> None:
+        c = self._c
+        now = anyio.current_time()
+        doomed = {job.id: job.spec.team for job in c.mirror.pipelines.doomed()}
+        self._doomed_since = {job_id: self._doomed_since.get(job_id, now) for job_id in doomed}
+        patience_s = c.settings.platform.deployment.workers.cancel_s / 8
+        for job_id, team in doomed.items():
+            late = now - self._doomed_since[job_id] > patience_s
+            if job_id not in self._under_way and (late or c.teams.owner(team) == c.node):
+                self._under_way.add(job_id)
+                assert c.tasks is not None
+                c.tasks.start_soon(self._cancel, job_id)
+
+    async def _cancel(self, job_id: str) -> None:
+        c = self._c
+        log.info("%s is cancelled with a job that it needs", job_id)
+
+        def apply(view: View) -> bool:
+            cancel(view, job_id, c.wall())
+            return True
+
+        try:
+            await c.committer.add(Change(f"cancel {job_id}", P_USER, 2, apply)).wait()
+        except Refused as refusal:
+            log.debug("%s: %s", job_id, refusal)
+        finally:
+            self._under_way.discard(job_id)
--- a/src/sandladder/hold.py
+++ b/src/sandladder/hold.py
@@ -1,18 +1,14 @@
 """The hold on the state service, the term that comes with it, and the room summary under it."""
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
 from sandladder import wire
-from sandladder.lifecycle import (
-    Refused,
-    View,
-    put_summary,
-)
+from sandladder.lifecycle import Refused, View, fresh, put_summary, summary_changes
 from sandladder.model import Seen, Summary
-from sandladder.records import TERM
+from sandladder.records import FORM, FORM_KEY, PLAIN, TERM, TYPES, form_value, stamp_parts
 from sandladder.store import (
     P_HOLD,
     P_USER,
@@ -34,12 +30,12 @@
 
     def __init__(self, controller: "Controller") -> None:
         self._c = controller
-        deployment = controller.settings.platform.deployment
         self._hold_s = controller.settings.operator.hold_leases * controller.lease_s
-        # Room for the key and the braces around a value.
-        self._value_bytes = deployment.state.value_kb * 1024 * 0.95
         self._renewal: Renewal | None = None
         self._present = False  # our summary is in the store under the current lease
+        # The head of a summary whose further parts are written already, and how many such.
+        self._ahead: list[tuple[str, Any]] = []
+        self._stamps = 0
         self._term_lock = anyio.Lock()
         self._due = Signal()
 
@@ -82,16 +78,23 @@
         await self._c.watch.barrier()
         await self._take_term(renewal.lease)
         self._renewal, self._present = renewal, True
+        self._c.teams.entered(self._c.delivery.term)
         log.info("entered with term %d", self._c.delivery.term)
 
     async def _take_term(self, lease: int, above: int = 0) -> None:
         """Increase the one counter of terms; the number is ours alone."""
         taken = 0
+        await self._write_ahead(lease)
 
         def apply(view: View) -> bool:
             nonlocal taken
-            taken = max(self._c.mirror.term, above) + 1
-            view.put(TERM, taken, self._c.mirror.version(TERM))
+            mirror = self._c.mirror
+            taken = max(mirror.term, above) + 1
+            view.put(TERM, taken, mirror.version(TERM))
+            if fresh(mirror):
+                # No version before this one ever wrote here: it begins in our form.
+                view.put(FORM_KEY, form_value(FORM), 0)
+                view.guards[TYPES] = 0
             self._put_summary(view, taken, lease)
             return True
 
@@ -115,7 +118,34 @@
             return True
 
     def _put_summary(self, view: View, term: int, lease: int) -> None:
-        put_summary(view, self._c.node, self._summary(term), lease, self._value_bytes)
+        changes = self._ahead or self._changes(view, term)
+        put_summary(view, self._c.node, changes, lease, self._c.limits.txn_ops)
+
+    def _changes(self, view: View, term: int) -> list[tuple[str, Any]]:
+        return summary_changes(view, self._c.node, self._summary(term), self._c.limits.value_bytes)
+
+    async def _write_ahead(self, lease: int) -> None:
+        """Write the further parts of a summary that no transaction holds as a whole.
+
+        What follows writes its head, and with it the summary counts.
+        """
+        self._ahead = []
+        changes = self._changes(View(self._c.mirror), self._c.delivery.term)
+        if self._c.mirror.form == PLAIN or len(changes) < self._c.limits.txn_ops:
+            return
+        self._stamps += 1
+        stamp = (self._c.delivery.term << 20) + self._stamps
+        *ahead, head = stamp_parts(changes[0][0], [value for _, value in changes], stamp)
+        for key, value in ahead:
+
+            def apply(view: View, key: str = key, value: Any = value) -> bool:
+                view.write(key, value, lease)
+                return True
+
+            await self._c.committer.add(
+                Change("part of the summary", P_USER, 1, apply, leased=True)
+            ).wait()
+        self._ahead = [head]
 
     def _summary(self, term: int) -> Summary:
         now = anyio.current_time()
@@ -138,7 +168,8 @@
                 errors=len(dialogue.failed),
                 images=tuple(self._c.picture.images.names(machine, report.session)[-4:]),
             )
-        return Summary(term, round(self._c.loss.up_s(now), 2), self._c.mirror.revision, machines)
+        up_s = round(self._c.loss.up_s(now), 2)
+        return Summary(term, up_s, self._c.mirror.revision, machines, FORM)
 
     async def summarise(self) -> None:
         """Write the room summary every few seconds."""
@@ -155,6 +186,7 @@
                 return True
 
             try:
+                await self._write_ahead(lease)
                 await self._c.committer.add(
                     # Others place on our machines by what it says: it must not starve.
                     Change("summary", P_USER, 1, apply, leased=True)
--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -14,6 +14,7 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from sandladder.model import Seen
+from sandladder.records import PLAIN
 from sandladder.settings import Peer, split_addr
 from sandladder.store import Signal
 
@@ -26,12 +27,14 @@
 class Beat(msgspec.Struct, tag="beat", array_like=True):
     """A sign of life; `state_ok` says that the sender reaches the state service.
 
-    `demand` is how many changes it has waiting for the store.
+    `demand` is how many changes it has waiting for the store, `form` the newest form of
+    records that it understands.  The version before sends three fields and ignores a fourth.
     """
 
     node: str
     state_ok: bool
     demand: int = 0
+    form: int = PLAIN
 
 
 class Poke(msgspec.Struct, tag="poke", array_like=True):
@@ -102,6 +105,7 @@
         self.heard_at = float("-inf")
         self.state_ok = False
         self.demand = 0
+        self.form = PLAIN
 
     def send(self, message: Message) -> None:
         """Queue a hint; when the queue is full the oldest is dropped."""
@@ -163,7 +167,7 @@
             anyio.ClosedResourceError,
         ):
             pass
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log.warning("a peer sent what cannot be read: %s", error)
         finally:
             count -= 1
@@ -185,4 +189,10 @@
             if not 0 < size <= _FRAME_LIMIT:
                 raise ValueError(f"a frame of {size} bytes")
             body = await buffered.receive_exactly(size)
-        receive(_decoder.decode(body))
+        try:
+            message = _decoder.decode(body)
+        except msgspec.DecodeError as error:
+            # A later version may say things that we do not know; its other words count.
+            log.warning("a peer sent what cannot be read: %s", error)
+            continue
+        receive(message)
--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -1,26 +1,51 @@
 """A controller's copy of the records."""
 
+import logging
 from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
-from sandladder.model import Attempt, Final, Job, Machine, MachineType, Summary, Team
+from sandladder.model import (
+    Attempt,
+    Final,
+    Job,
+    Machine,
+    MachineType,
+    Placer,
+    Summary,
+    Team,
+)
+from sandladder.pipelines import Pipelines
 from sandladder.records import (
+    EXTRA,
     FINAL,
     FLEET,
+    FORM_KEY,
     JOB,
+    MARKS,
     NODE,
+    PLAIN,
     RENTER,
     TEAM,
     TERM,
     TYPES,
+    UnknownForm,
+    extra_key,
+    is_folded,
     load_job,
+    read_final,
     read_fleet,
+    read_form,
+    read_team,
+    split_extra,
+    unfold,
     unpack_summary,
 )
 
+log = logging.getLogger(__name__)
+
 FINALS_KEPT = 4096
 
 
@@ -29,8 +54,13 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.form = PLAIN  # of the records
+        self.marks: dict[str, int] = {}  # by controller, the form that it said it understands
         self.jobs: dict[str, Job] = {}
-        self.teams: dict[str, Team] = {}
+        self.pipelines = Pipelines(self.jobs)
+        self.teams: dict[str, Team] = {}  # as the first form keeps it
+        self.placers: dict[str, Placer] = {}  # in the second form
+        self.used: dict[str, Team] = {}  # what the live attempts of each team hold
         self.nodes: dict[str, Summary] = {}
         self.fleet: dict[str, Machine] = {}
         self.chunks: dict[int, list[str]] = {}  # the machines of each fleet record
@@ -40,11 +70,17 @@
         self.on_machine: dict[str, set[tuple[str, int]]] = {}
         self.versions: dict[str, int] = {}
         self.finals: OrderedDict[str, Final] = OrderedDict()
+        # Records that make no sense to us: what rests on them is not done.
+        self.unreadable: set[str] = set()
         # Machines whose committed starts changed, and tasks that were started or done, since
         # somebody last asked.
         self.touched: set[str] = set()
         self.begun: set[tuple[str, int]] = set()
         self._parts: dict[str, dict[int, Any]] = {}  # values of the nodes' summaries
+        # The parts of folded records, as (value, version), and which of these to read again.
+        self._heads: dict[str, tuple[Any, int]] = {}
+        self._extras: dict[str, dict[int, tuple[Any, int]]] = {}
+        self._refold: set[str] = set()
         # Keys that our own commits moved past `revision`: older news of them is ignored.
         self._ahead: dict[str, int] = {}
 
@@ -63,6 +99,9 @@
             if version > self._ahead.get(key, 0) and version != self.version(key):
                 self._set(key, value, version)
                 changed.add(key)
+        # Read page by page: what does not fit together is put right by the changes that
+        # follow, before anyone acts on it.
+        changed |= self._unfold()
         self._advance(max(revision, self.revision))
         return changed
 
@@ -74,6 +113,9 @@
                 continue
             self._set(key, value, 0 if value is None else version)
             changed.add(key)
+        changed |= self._unfold()
+        for key in self._refold - self.unreadable:
+            self._cannot_read(key, "its parts are not of one writing")
         self._advance(max(revision, self.revision))
         return changed
 
@@ -87,7 +129,7 @@
                 self._ahead[key] = revision
             self._set(key, value, 0 if value is None else revision)
             changed.add(key)
-        return changed
+        return changed | self._unfold()
 
     def _advance(self, revision: int) -> None:
         self.revision = revision
@@ -98,30 +140,91 @@
         if key.startswith(FINAL):
             # Finished jobs never change; only the latest are kept, others are read again.
             if value is not None:
-                self.remember(key[len(FINAL) :], Final(*value))
+                try:
+                    self.remember(key[len(FINAL) :], read_final(value, version))
+                except Exception as error:
+                    log.error("the record %s cannot be read: %s", key, error)
             return
         if value is None:
             self.versions.pop(key, None)
         else:
             self.versions[key] = version
+        if key.startswith(EXTRA):
+            self._set_extra(key, value, version)
+        elif is_folded(value):
+            self._heads[key] = value, version
+            self._refold.add(key)
+        else:
+            self._heads.pop(key, None)
+            self._refold.discard(key)
+            self._take(key, value)
+
+    def _set_extra(self, key: str, value: Any, version: int) -> None:
+        name, index = split_extra(key)
+        extras = self._extras.setdefault(name, {})
+        if value is None:
+            extras.pop(index, None)
+            if not extras:
+                del self._extras[name]
+        else:
+            extras[index] = value, version
+        if name in self._heads:
+            self._refold.add(name)
+
+    def extras(self, key: str) -> list[str]:
+        """The keys of a record's further parts, as they stand."""
+        return [extra_key(key, index) for index in self._extras.get(key, ())]
+
+    def _unfold(self) -> set[str]:
+        """Read the folded records whose parts changed; those that are whole."""
+        found = set()
+        for key in list(self._refold):
+            try:
+                value = unfold(self._heads[key], self._extras.get(key, {}))
+            except Exception as error:
+                self._cannot_read(key, repr(error))
+                continue
+            if value is not None:
+                self._refold.discard(key)
+                self._take(key, value)
+                found.add(key)
+        return found
+
+    def _take(self, key: str, value: Any) -> None:
+        """Take in a record; one that makes no sense ends nothing but what rests on it."""
+        try:
+            self._read(key, value)
+        except UnknownForm:
+            raise
+        except Exception as error:
+            self._cannot_read(key, repr(error))
+        else:
+            self.unreadable.discard(key)
+
+    def _cannot_read(self, key: str, why: str) -> None:
+        log.error("the record %s cannot be read: %s", key, why)
+        self.unreadable.add(key)
+
+    def _read(self, key: str, value: Any) -> None:
         name = key.rpartition("/")[2]
-        if key.startswith(JOB):
+        if key == FORM_KEY:
+            self.form = PLAIN if value is None else read_form(value)
+        elif key.startswith(JOB):
             self._set_job(name, value)
         elif key.startswith(TEAM):
-            if value is None:
-                self.teams.pop(name, None)
-            else:
-                self.teams[name] = Team(*value)
+            self._set_team(name, value)
         elif key.startswith(NODE):
             node, _, part = key[len(NODE) :].partition("/")
             self._set_part(node, int(part or 0), value)
         elif key.startswith(FLEET):
+            found = {} if value is None else read_fleet(value)
             for machine in self.chunks.pop(int(name), ()):
                 del self.fleet[machine]
             if value is not None:
-                found = read_fleet(value)
                 self.fleet.update(found)
                 self.chunks[int(name)] = list(found)
+        elif key == MARKS:
+            self.marks = {str(node): int(form) for node, form in (value or {}).items()}
         elif key == TERM:
             self.term = int(value or 0)
         elif key == RENTER:
@@ -129,8 +232,31 @@
         elif key == TYPES:
             self.types = msgspec.convert(value or {}, dict[str, MachineType], strict=False)
 
+    def _set_team(self, name: str, value: Any) -> None:
+        found = Team() if value is None else read_team(value)
+        self.teams.pop(name, None)
+        self.placers.pop(name, None)
+        if isinstance(found, Placer):
+            self.placers[name] = found
+        elif value is not None:
+            self.teams[name] = found
+
+    @property
+    def opaque(self) -> set[str]:
+        """Controllers that have a summary which we could never read."""
+        heads = {node for node, parts in self._parts.items() if 0 in parts}
+        heads |= {key[len(NODE) :] for key in self._heads if key.startswith(NODE)}
+        return heads - self.nodes.keys()
+
+    def starts_barred(self, team: str) -> bool:
+        """Whether it cannot be told what the team holds, so that nothing of it may start."""
+        jobs = (key[len(JOB) :] for key in self.unreadable if key.startswith(JOB))
+        known = (self.jobs.get(job_id) for job_id in jobs)
+        return any(job is None or job.spec.team == team for job in known)
+
     def remember(self, job_id: str, final: Final) -> None:
         """Keep what a finished job came to, among the latest such."""
+        self.pipelines.settle(job_id, final)
         self.finals[job_id] = final
         if len(self.finals) > FINALS_KEPT:
             self.finals.popitem(last=False)
@@ -157,12 +283,14 @@
         after: dict[int, Attempt] = {}
         if value is None:
             self.jobs.pop(job_id, None)
+            job = None
         else:
             job = load_job(value, old.spec if old is not None else None)
             self.jobs[job_id] = job
             after = job.live
             if old is not None and job.cancelled != old.cancelled:
                 self.touched.update(attempt.machine for attempt in after.values())
+        self._index(job_id, old, job)
         for task, attempt in before.items():
             if after.get(task) == attempt:
                 continue
@@ -178,6 +306,23 @@
             self.begun.add((job_id, task))
             self.on_machine.setdefault(attempt.machine, set()).add((job_id, task))
 
+    def _index(self, job_id: str, old: Job | None, new: Job | None) -> None:
+        """Keep up what follows from the live jobs together."""
+        held = 0
+        for job, sign in ((old, -1), (new, 1)):
+            if job is not None:
+                held += sign * len(job.live)
+        some = new or old
+        if some is not None and held:
+            team = self.used.get(some.spec.team, Team())
+            self.used[some.spec.team] = team.plus(some.spec, held)
+        self.pipelines.changed(job_id, old, new)
+        if new is not None:
+            for name in new.awaits:
+                final = self.finals.get(name)
+                if final is not None:
+                    self.pipelines.settle(name, final)
+
     def attempts_on(self, machine: str) -> Iterator[tuple[Job, int, Attempt]]:
         """The committed starts on a machine whose end is not proved."""
         for job_id, task in self.on_machine.get(machine, ()):
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -171,11 +171,31 @@
 class Job:
     """A live job: its spec, which tasks are done, and its committed starts."""
 
-    __slots__ = ("spec", "submitted", "next_attempt", "done", "live", "cancelled", "errors")
-
-    def __init__(self, spec: JobSpec, submitted: float) -> None:
+    __slots__ = (
+        "spec",
+        "submitted",
+        "next_attempt",
+        "done",
+        "live",
+        "cancelled",
+        "errors",
+        "awaits",
+        "ready",
+    )
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        submitted: float,
+        awaits: tuple[str, ...] = (),
+        ready: float | None = None,
+    ) -> None:
         self.spec = spec
         self.submitted = submitted  # time of day
+        # Jobs that must be done before any task starts, as far as that is not recorded here
+        # yet; and the time of day at which the last of those recorded was done.
+        self.awaits = awaits
+        self.ready = ready
         self.next_attempt = 1
         self.done = Ranges()
         self.live: dict[int, Attempt] = {}
@@ -214,7 +234,7 @@
         return RUNNING if self.live else PENDING
 
     def copy(self) -> "Job":
-        twin = Job(self.spec, self.submitted)
+        twin = Job(self.spec, self.submitted, self.awaits, self.ready)
         twin.next_attempt = self.next_attempt
         twin.done = Ranges(self.done.flat())
         twin.live = dict(self.live)
@@ -228,6 +248,15 @@
 
     state: str
     done: int
+    at: float | None = None  # time of day at which it was over, where that was recorded
+    version: int = 0  # of the record that says so, where it is known
+
+
+class Placer(NamedTuple):
+    """The controller that places a team's jobs, and the term with which its process began."""
+
+    node: str
+    term: int
 
 
 class Team(NamedTuple):
@@ -236,6 +265,12 @@
     cpus: float = 0.0
     gpus: float = 0.0
 
+    def plus(self, spec: JobSpec, tasks: int) -> "Team":
+        """With so many tasks of a job more, or fewer."""
+        cpus = self.cpus + tasks * spec.cpus
+        gpus = self.gpus + tasks * spec.gpus
+        return Team(max(0.0, round(cpus, 6)), max(0.0, round(gpus, 6)))
+
 
 class Machine(NamedTuple):
     """A machine in the fleet record. States: rented, draining, gone."""
@@ -267,3 +302,4 @@
     up_s: float
     revision: int  # what its writer had seen of the store
     machines: dict[str, Seen] = {}
+    form: int = 1  # the newest form of records that its writer understands
--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -13,6 +13,7 @@
 from sandladder.model import (
     Attempt,
 )
+from sandladder.records import FORM, PLAIN
 
 if TYPE_CHECKING:
     from sandladder.control import Controller
@@ -63,7 +64,14 @@
         return found
 
     def owner(self, team: str) -> str:
-        """The controller that places this team's jobs; a disagreement costs only a retry."""
+        """The controller that places this team's jobs."""
+        return self._c.teams.owner(team)
+
+    def ring_owner(self, team: str) -> str:
+        """The controller whose turn this team is round the ring of those that live.
+
+        A disagreement about who lives costs only a retry.
+        """
         names = [t.name for t in self._c.settings.platform.deployment.teams]
         first = names.index(team) if team in names else 0
         live = set(self.live_nodes())
@@ -76,13 +84,16 @@
     def beat(self) -> mesh.Beat:
         self._share_writes()
         return mesh.Beat(
-            self._c.node, self._c.hold.alive() and self._c.state_ok(), self._c.committer.demand
+            self._c.node,
+            self._c.hold.alive() and self._c.state_ok(),
+            self._c.committer.demand,
+            FORM,
         )
 
     def _share_writes(self) -> None:
         """Divide the store's write rate by what each controller has waiting."""
         now = anyio.current_time()
-        least = self._c.settings.platform.deployment.state.txn_ops / 4
+        least = self._c.limits.txn_ops / 4
         own = least + self._c.committer.demand
         whole = own
         for name, link in self.links.items():
@@ -101,7 +112,7 @@
             link = self.links.get(message.node)
             if link is not None:
                 link.heard_at, link.state_ok = anyio.current_time(), message.state_ok
-                link.demand = message.demand
+                link.demand, link.form = message.demand, message.form
         elif isinstance(message, mesh.Poke):
             self._c.watch.poke()
         elif isinstance(message, mesh.Ask):
@@ -146,12 +157,12 @@
             self._asked.pop(number, None)
         return asked.answer or BUSY
 
-    def abler(self) -> str | None:
-        """A peer that says it reaches the state service, if any does."""
+    def abler(self, form: int = PLAIN) -> str | None:
+        """A peer that says it reaches the state service and knows this form, if any does."""
         now = anyio.current_time()
         able = [
             name
             for name, link in self.links.items()
-            if link.state_ok and now - link.heard_at < 3 * self._c.beat_s
+            if link.state_ok and link.form >= form and now - link.heard_at < 3 * self._c.beat_s
         ]
         return self._c.rng.choice(able) if able else None
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -12,7 +12,18 @@
 from sandladder.delivery import Delivery, Dialogue
 from sandladder.lifecycle import Ended, LossProof, Placement
 from sandladder.mirror import Mirror
-from sandladder.model import Attempt, Job, JobSpec, Machine, MachineType, Seen, Summary, Team
+from sandladder.model import (
+    Attempt,
+    Final,
+    Job,
+    JobSpec,
+    Machine,
+    MachineType,
+    Seen,
+    Summary,
+    Team,
+)
+from sandladder.pipelines import Outlook
 from sandladder.premises import Gate, Resource, Room
 from sandladder.records import JOB, TEAM
 from sandladder.settings import Settings, TeamLimits
@@ -20,6 +31,8 @@
 # A machine on which so many different jobs failed in a row is not trusted with more.  One
 # job alone proves nothing: it may fail everywhere.
 SICK_ERRORS = 2
+# Work without any aim goes last, in the order in which it came.
+_SOME_TIME = 1e9
 
 
 class Sight(NamedTuple):
@@ -233,9 +246,12 @@
     def job(self, job_id: str) -> Job | None:
         return self.mirror.jobs.get(job_id)
 
+    def settled(self, job_id: str) -> Final | None:
+        return self.mirror.pipelines.settled(job_id)
+
     def team_left(self, team: str) -> tuple[float, float]:
         limits = self.limits.get(team, TeamLimits(team))
-        held = self.mirror.teams.get(team, Team())
+        held = self.mirror.used.get(team, Team())
         return limits.cpus_max - held.cpus, limits.gpus_max - held.gpus
 
     def version(self, resource: Resource) -> int:
@@ -269,6 +285,36 @@
                 self.now,
             )
 
+    # Urgency
+
+    def stage_s(self, spec: JobSpec) -> float:
+        """How long a job takes once it may start, if there is room."""
+        rates = [t.fetch_gb_per_s for t in self.mirror.types.values() if t.fits(spec)]
+        report_s = self.settings.platform.deployment.workers.report_s
+        return spec.estimate_s + spec.image_gb / max([1e-6, *rates]) + report_s / 2
+
+    def outlook(self, job: Job) -> Outlook:
+        """Its priority and when it is due, with all that need it."""
+        return self.mirror.pipelines.outlook(job, self.stage_s)
+
+    def since(self, job: Job) -> float:
+        """From when its times count."""
+        return self.mirror.pipelines.since(job)
+
+    def latest_start(self, job: Job) -> float:
+        """By when it must start to meet what is expected of it, or of those that need it."""
+        since = self.since(job)
+        latest = since + self.settings.waits.get(job.spec.cls, _SOME_TIME)
+        return min(latest, self.outlook(job).due - self.stage_s(job.spec))
+
+    def order_key(self, job: Job) -> tuple[int, int, float]:
+        """Who goes first: priority, then teams within their guarantee, then the most urgent."""
+        spec = job.spec
+        limits = self.limits.get(spec.team, TeamLimits(spec.team))
+        held = self.mirror.used.get(spec.team, Team())
+        within = held.cpus + spec.cpus <= limits.cpus + 1e-6
+        return -self.outlook(job).priority, 0 if within else 1, self.latest_start(job)
+
     def forget(self) -> None:
         """Drop what is known of machines that nobody speaks of any more."""
         longest = 4 * self.settings.platform.deployment.workers.lease_s
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -11,41 +11,27 @@
 from itertools import islice
 from random import Random
 
+import msgspec
+
 from sandladder.lifecycle import Placement
-from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec, Team
+from sandladder.limits import Limits
+from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec
 from sandladder.picture import Picture, allowed, holds, less
 from sandladder.premises import Intent, Room
-from sandladder.settings import TeamLimits
 
 # Jobs with pending starts at a time, in changes that one full commit may carry.
 _FULL_COMMITS = 2
-# What a task alone on its machine takes of its job's record, with holes in what is done.
-_ITEM_BYTES = 32
-# The share of a job's record that is for what is live; the rest is for the job itself.
-_LIVE_SHARE = 0.7
-SPEC_SHARE = 0.28
-
-
-def order_key(job: Job, held: Team, limits: TeamLimits) -> tuple[int, int, float]:
-    """Who goes first: priority, then teams within their guarantee, then the most urgent."""
-    spec = job.spec
-    within = held.cpus + spec.cpus <= limits.cpus + 1e-6
-    due = job.submitted + (spec.deadline_s if spec.deadline_s is not None else 1e9)
-    return -spec.priority, 0 if within else 1, min(due, job.submitted + 1e9)
 
 
 class Planner:
     """Chooses machines for the waiting tasks of the jobs that are ours to place."""
 
-    def __init__(self, picture: Picture, rng: Random) -> None:
+    def __init__(self, picture: Picture, limits: Limits, rng: Random) -> None:
         self.picture = picture
         self.rng = rng
         self.avoid: dict[str, set[str]] = {}  # by job, the machines it failed on
         self.waits = picture.settings.waits
-        value_bytes = picture.settings.platform.deployment.state.value_kb * 1024
-        # A job's record holds an item for each batch of starts on a machine; what is live
-        # at a time is bounded such that the record stays within the store's limit.
-        self.most_live = max(8, int(value_bytes * _LIVE_SHARE / _ITEM_BYTES))
+        self.limits = limits
 
     def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
         """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off.
@@ -54,23 +40,21 @@
         are about to take, or that was made for them, is not given to lesser work.
         """
         picture = self.picture
+        ready = picture.mirror.pipelines.ready
         mine = {
-            job.id for job in owned if job.waiting > 0 and barred.get(job.id, 0.0) <= picture.now
+            job.id
+            for job in owned
+            if job.waiting > 0 and barred.get(job.id, 0.0) <= picture.now and ready(job)
         }
         if not mine:
             return []
         jobs = [
             job
             for job in picture.mirror.jobs.values()
-            if job.id in mine or (job.waiting > 0 and job.spec.priority >= HIGH)
+            if job.id in mine
+            or (job.waiting > 0 and picture.outlook(job).priority >= HIGH and ready(job))
         ]
-        jobs.sort(
-            key=lambda job: order_key(
-                job,
-                picture.mirror.teams.get(job.spec.team, Team()),
-                picture.limits.get(job.spec.team, TeamLimits(job.spec.team)),
-            )
-        )
+        jobs.sort(key=picture.order_key)
         rooms = picture.usable_rooms()
         pending: dict[str, list[Intent]] = {}
         spent: dict[str, tuple[float, float]] = {}
@@ -81,7 +65,7 @@
         admitted: list[Intent] = []
         # By likeness of tasks, the machines that had room for one: it only gets less.
         able: dict[tuple[object, ...], dict[str, Room]] = {}
-        left = max(0, _FULL_COMMITS * picture.settings.platform.deployment.state.txn_ops)
+        left = max(0, _FULL_COMMITS * self.limits.txn_ops)
         left -= len(pending)
         for job in jobs:
             if left <= 0:
@@ -97,6 +81,10 @@
                 admitted += found
         return admitted
 
+    def most_live(self, spec: JobSpec) -> int:
+        """How many tasks of a job may be live, for its record to fit the store."""
+        return min(spec.tasks, self.limits.most_live(len(msgspec.json.encode(spec))))
+
     def _place(
         self,
         job: Job,
@@ -120,7 +108,7 @@
             if most < job.waiting:
                 return []
         else:
-            most = min(most, self.most_live - len(job.live) - len(taken))
+            most = min(most, self.most_live(spec) - len(job.live) - len(taken))
         tasks = list(islice((t for t in job.pending() if t not in taken), max(0, most)))
         if not tasks:
             return []
@@ -139,7 +127,7 @@
         for task, room in zip(tasks, chosen, strict=False):
             rooms[room.id] = less(rooms[room.id], spec)
             placement = Placement(task, room.id, room.zone, room.session)
-            found.append(Intent(spec, placement, room.clerk))
+            found.append(Intent(spec, placement, room.clerk, job.awaits))
         spent[spec.team] = (
             used_cpus + len(found) * spec.cpus,
             used_gpus + len(found) * spec.gpus,
--- a/src/sandladder/premises.py
+++ b/src/sandladder/premises.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, Protocol
 
 from sandladder.lifecycle import EPSILON, Placement, zones_allowed
-from sandladder.model import Job, JobSpec
+from sandladder.model import DONE, Final, Job, JobSpec
 
 Resource = tuple[str, str]  # kind ("machine", "task", "job", "team") and name
 
@@ -51,6 +51,8 @@
 
     def job(self, job_id: str) -> Job | None: ...
 
+    def settled(self, job_id: str) -> Final | None: ...
+
     def team_left(self, team: str) -> tuple[float, float]: ...
 
     def version(self, resource: Resource) -> int: ...
@@ -69,7 +71,9 @@
 
     __slots__ = ("spec", "placement", "clerk", "premises", "read")
 
-    def __init__(self, spec: JobSpec, placement: Placement, clerk: str) -> None:
+    def __init__(
+        self, spec: JobSpec, placement: Placement, clerk: str, awaits: Iterable[str] = ()
+    ) -> None:
         self.spec = spec
         self.placement = placement
         self.clerk = clerk
@@ -84,6 +88,7 @@
             Premise("live", job, Outcome.BLOCK),
             Premise("zones", job, Outcome.REPLAN),
             Premise("limit", ("team", spec.team), Outcome.REPLAN),
+            *(Premise("after", ("job", name), Outcome.BLOCK) for name in awaits),
         )
         self.read: dict[Resource, int] = {}
 
@@ -92,10 +97,10 @@
         return self.spec.id, self.placement.task
 
 
-Check = Callable[[Intent, Evidence], bool]
+Check = Callable[[Intent, Evidence, Resource], bool]
 
 
-def _room(intent: Intent, evidence: Evidence) -> bool:
+def _room(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     room = evidence.room(intent.placement.machine)
     if room is None:
         return False
@@ -103,12 +108,12 @@
     return min(room.cpus, room.gpus, room.memory_gb) >= -EPSILON
 
 
-def _reports(intent: Intent, evidence: Evidence) -> bool:
+def _reports(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     room = evidence.room(intent.placement.machine)
     return room is not None and room.usable and room.session == intent.placement.session
 
 
-def _allowed(intent: Intent, evidence: Evidence) -> bool:
+def _allowed(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     room = evidence.room(intent.placement.machine)
     if room is None:
         raise Unverifiable("the machine is not known any more")
@@ -121,7 +126,7 @@
     )
 
 
-def _clerk(intent: Intent, evidence: Evidence) -> bool:
+def _clerk(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     room = evidence.room(intent.placement.machine)
     if room is None or room.clerk == intent.clerk:
         return True
@@ -129,19 +134,19 @@
     return False
 
 
-def _task(intent: Intent, evidence: Evidence) -> bool:
+def _task(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     job = evidence.job(intent.spec.id)
     if job is None:
         raise Unverifiable("the job is not in the records")
     return intent.placement.task not in job.live and intent.placement.task not in job.done
 
 
-def _live(intent: Intent, evidence: Evidence) -> bool:
+def _live(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     job = evidence.job(intent.spec.id)
     return job is not None and not job.cancelled
 
 
-def _zones(intent: Intent, evidence: Evidence) -> bool:
+def _zones(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     job = evidence.job(intent.spec.id)
     if job is None:
         raise Unverifiable("the job is not in the records")
@@ -151,11 +156,19 @@
     return zones_allowed(intent.spec, [*zones, intent.placement.zone])
 
 
-def _limit(intent: Intent, evidence: Evidence) -> bool:
+def _limit(intent: Intent, evidence: Evidence, on: Resource) -> bool:
     cpus, gpus = evidence.team_left(intent.spec.team)
     return intent.spec.cpus <= cpus + EPSILON and intent.spec.gpus <= gpus + EPSILON
 
 
+def _after(intent: Intent, evidence: Evidence, on: Resource) -> bool:
+    """Whether a job that this one awaits is done; a committed fact that never changes."""
+    final = evidence.settled(on[1])
+    if final is None:
+        raise Unverifiable("what the awaited job came to is not known")
+    return final.state == DONE
+
+
 CHECKS: dict[str, Check] = {
     "room": _room,
     "reports": _reports,
@@ -165,6 +178,7 @@
     "live": _live,
     "zones": _zones,
     "limit": _limit,
+    "after": _after,
 }
 
 
@@ -266,7 +280,7 @@
                 continue
             self.checked += 1
             try:
-                holds = CHECKS[premise.kind](intent, evidence)
+                holds = CHECKS[premise.kind](intent, evidence, premise.resource)
                 outcome = Outcome.KEEP if holds else premise.severity
             except Unverifiable:
                 outcome = Outcome.BLOCK  # what cannot be checked is not let through
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -21,7 +21,6 @@
     Team,
 )
 from sandladder.picture import SICK_ERRORS, Picture, allowed
-from sandladder.placement import order_key
 from sandladder.premises import Room
 from sandladder.settings import TeamLimits
 
@@ -117,14 +116,11 @@
             return []
         bins = self._bins(wall)
         lacking: list[_Lack] = []
-        teams = dict(picture.mirror.teams)
+        teams = dict(picture.mirror.used)
+        ready = picture.mirror.pipelines.ready
         jobs = sorted(
-            (job for job in picture.mirror.jobs.values() if job.waiting),
-            key=lambda job: order_key(
-                job,
-                picture.mirror.teams.get(job.spec.team, Team()),
-                picture.limits.get(job.spec.team, TeamLimits(job.spec.team)),
-            ),
+            (job for job in picture.mirror.jobs.values() if job.waiting and ready(job)),
+            key=picture.order_key,
         )
         backlog = 0.0
         for job in jobs:
@@ -132,12 +128,14 @@
             missing = count - self._fill(spec, count, bins)
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
-                eta_s = wall - job.submitted + backlog / max(self._capacity, spec.cpus)
-                allowance = self._allowance_s(spec, wall - job.submitted)
-                any_kind = self._pressing(spec, eta_s, allowance)
-                if any_kind and spec.priority < HIGH and spec.kind != SERVICE:
+                age_s = wall - picture.since(job)
+                eta_s = age_s + backlog / max(self._capacity, spec.cpus)
+                allowance = self._allowance_s(job, age_s)
+                priority = picture.outlook(job).priority
+                any_kind = self._pressing(spec, priority, eta_s, allowance)
+                if any_kind and priority < HIGH and spec.kind != SERVICE:
                     # Rent ordinary machines for as much as brings it back within its time.
-                    left_s = max(_PRESSING_ANY * allowance - wall + job.submitted, allowance / 10)
+                    left_s = max(_PRESSING_ANY * allowance - age_s, allowance / 10)
                     more = math.ceil((backlog / left_s - self._capacity) / spec.cpus)
                     missing = min(missing, max(1, more))
                 if any_kind is not None:
@@ -205,25 +203,29 @@
                 left -= found.take(spec, left)
         return count - left
 
-    def _allowance_s(self, spec: JobSpec, age_s: float) -> float:
-        """How late the last task of a job may start, from its submission.
+    def _allowance_s(self, job: Job, age_s: float) -> float:
+        """How late the last task of a job may start, from when its times count.
 
         An aim that no machine rented now could meet any more presses for nothing: then the
         next one counts.
         """
+        spec = job.spec
         boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
         up_s = age_s + min(boots, default=0.0)
         run_s = 1.3 * spec.estimate_s
         late = [self._waits.get(spec.cls, math.inf)]
         late += [max(0.0, within - run_s) for within in self._finishes.get(spec.cls, ())]
-        if spec.deadline_s is not None:
-            late.append(max(0.0, spec.deadline_s - run_s))
+        due_s = self.picture.outlook(job).due - self.picture.since(job)
+        if due_s < math.inf:
+            late.append(max(0.0, due_s - run_s))
         late = sorted(limit for limit in late if limit < math.inf)
         if not late:
             return 10 * self._lease_s
         return next((limit for limit in late if limit >= up_s), late[-1])
 
-    def _pressing(self, spec: JobSpec, eta_s: float, allowance: float) -> bool | None:
+    def _pressing(
+        self, spec: JobSpec, priority: int, eta_s: float, allowance: float
+    ) -> bool | None:
         """Whether to rent for work that would start so late: None no, False spot only.
 
         Machines already there come free in time for work that can wait; the cheaper kind is
@@ -237,7 +239,7 @@
         latest = _PRESSING_ANY * allowance - 2 * min(boots, default=0.0)
         if eta_s > max(_PRESSING_SOON * allowance, latest):
             return True
-        early = spec.priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
+        early = priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
         return False if spec.spot and early else None
 
     def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int]]:
--- a/src/sandladder/records.py
+++ b/src/sandladder/records.py
@@ -3,18 +3,144 @@
 `docs/upgrading.md` says who reads which record and what may be added.  Pure.
 """
 
+import base64
 import re
+import zlib
 from typing import Any
 
 import msgspec
 
-from sandladder.model import Attempt, Job, JobSpec, Machine, Ranges, Seen, Summary
+from sandladder.model import (
+    ARRAY,
+    CANCELLED,
+    DONE,
+    Attempt,
+    Final,
+    Job,
+    JobSpec,
+    Machine,
+    Placer,
+    Ranges,
+    Seen,
+    Summary,
+    Team,
+)
 
 ROOT = "s/"
 JOB, FINAL, TEAM, NODE, FLEET = "s/j/", "s/f/", "s/t/", "s/p/", "s/v/"
 TERM, RENTER, TYPES = "s/term", "s/renter", "s/types"
+# What each controller said it understands; and what a record that is longer than the store's
+# values holds beyond its first part.
+MARK, EXTRA = "s/n/", "s/x/"
+MARKS = MARK + "forms"
 # What a controller reads at its start: all but the finished jobs.
-PREFIXES = (JOB, NODE, "s/r", "s/t", FLEET)
+PREFIXES = (JOB, NODE, "s/r", "s/t", FLEET, MARK, EXTRA)
+
+# The form of records that this program writes once all controllers understand it.  Until
+# FORM_KEY says so, everything is written as the version before wrote it.
+PLAIN, FORM = 1, 2
+FORM_KEY = JOB + "form"
+
+
+class UnknownForm(Exception):
+    """The records are of a form that this version does not understand."""
+
+
+def form_value(form: int) -> dict[str, Any]:
+    """The mark of the records' form.
+
+    A controller of the version before takes it for a job.  It cannot read the time, says so
+    with its text, and stands still: it would do harm with records that it half understands.
+    This can go once no store is left that such a version may meet.
+    """
+    spec = ["form", "", "", ARRAY, 0, 1, 1.0, 0.0, 0.0, "", 0.0]
+    spec += [None, None, False, False, False, 0.0, 0.0, 0.0, None]
+    return {"s": spec, "t": "these records need sandladder 0.2 or later", "n": 1, "form": form}
+
+
+def read_form(value: Any) -> int:
+    form = value.get("form") if isinstance(value, dict) else None
+    if not isinstance(form, int) or not PLAIN < form <= FORM:
+        raise UnknownForm(f"the records are of the form {form!r}, this version knows {FORM}")
+    return form
+
+
+# Folding: a value that is too long for the store becomes several that are not.
+
+_FOLDED, _PARTS, _STAMP, _BASE = "~", "p", "r", "b"
+_UNFOLDED_MOST = 4 << 20
+
+
+def fold(value: Any, most_bytes: float) -> list[Any]:
+    """The values that a record is written as, the first under its own key.
+
+    They belong together when one transaction wrote them all.
+    """
+    plain = msgspec.json.encode(value)
+    if len(plain) <= most_bytes:
+        return [value]
+    text = base64.b64encode(zlib.compress(plain)).decode("ascii")
+    room = max(1, int(most_bytes) - _FOLD_BYTES)
+    texts = [text[at : at + room] for at in range(0, len(text), room)]
+    parts: list[dict[str, Any]] = [{_FOLDED: part} for part in texts]
+    parts[0][_PARTS] = len(parts)
+    return parts
+
+
+# What surrounds the text of a part.
+_FOLD_BYTES = len(msgspec.json.encode({_FOLDED: "", _PARTS: 1000, _STAMP: 1 << 53, _BASE: 1000}))
+
+
+def stamp_parts(key: str, parts: list[dict[str, Any]], stamp: int) -> list[tuple[str, Any]]:
+    """The (key, value) pairs of a record that no one transaction holds, its head last.
+
+    The further parts are written ahead, beside those that the head still names; all carry
+    one stamp, so that a half-written record is never believed.
+    """
+    base = 1 + stamp % 2 * (_MOST_EXTRAS + 1)
+    head = parts[0] | {_STAMP: stamp, _BASE: base}
+    ahead = [
+        (extra_key(key, base + index), part | {_STAMP: stamp})
+        for index, part in enumerate(parts[1:])
+    ]
+    return [*ahead, (key, head)]
+
+
+_MOST_EXTRAS = 999
+
+
+def is_folded(value: Any) -> bool:
+    return isinstance(value, dict) and _FOLDED in value
+
+
+def unfold(head: tuple[Any, int], extras: dict[int, tuple[Any, int]]) -> Any:
+    """The record of these (value, version) parts; None when they are not of one writing."""
+    value, version = head
+    texts = [value[_FOLDED]]
+    base = int(value.get(_BASE, 1))
+    for index in range(base, base + int(value[_PARTS]) - 1):
+        extra = extras.get(index)
+        if extra is None:
+            return None
+        if _STAMP in value:
+            if extra[0].get(_STAMP) != value[_STAMP]:
+                return None
+        elif extra[1] != version:
+            return None
+        texts.append(extra[0][_FOLDED])
+    data = base64.b64decode("".join(texts), validate=True)
+    return msgspec.json.decode(zlib.decompressobj().decompress(data, _UNFOLDED_MOST))
+
+
+def extra_key(key: str, index: int) -> str:
+    """The key of a further part of a record."""
+    return f"{EXTRA}{key[len(ROOT) :]}/{index}"
+
+
+def split_extra(key: str) -> tuple[str, int]:
+    """The record that a further part belongs to, and its place."""
+    name, _, index = key[len(EXTRA) :].rpartition("/")
+    return ROOT + name, int(index)
 
 
 _NUMBERED = re.compile(r"vm-([0-9]{6})", re.ASCII)
@@ -66,6 +192,11 @@
         value["c"] = 1
     if job.errors:
         value["e"] = job.errors
+    # Only in records of the second form: the version before would lose these.
+    if job.awaits:
+        value["a"] = list(job.awaits)
+    if job.ready is not None:
+        value["w"] = round(job.ready, 3)
     return value
 
 
@@ -85,9 +216,40 @@
                     job.live[task] = item
     job.cancelled = bool(value.get("c"))
     job.errors = int(value.get("e") or 0)
+    job.awaits = tuple(value.get("a") or ())
+    if not all(isinstance(name, str) for name in job.awaits):
+        raise ValueError("the jobs that it awaits are not named")
+    job.ready = None if value.get("w") is None else float(value["w"])
     return job
 
 
+def final_value(final: Final, form: int) -> list[Any]:
+    """What is kept of a finished job; the time only where no reader counts the elements."""
+    kept: list[Any] = [final.state, final.done]
+    if form > PLAIN and final.at is not None:
+        kept.append(round(final.at, 3))
+    return kept
+
+
+def read_final(value: Any, version: int = 0) -> Final:
+    state, done, *more = value
+    if state not in (DONE, CANCELLED):
+        raise ValueError(f"a finished job is not {state!r}")
+    return Final(state, int(done), float(more[0]) if more else None, version)
+
+
+def placer_value(placer: Placer) -> dict[str, Any]:
+    """A team's record in the second form: who places; what the team holds, its jobs tell."""
+    return {"p": placer.node, "n": placer.term}
+
+
+def read_team(value: Any) -> Team | Placer:
+    """A team's record: what it holds, or who places its jobs."""
+    if isinstance(value, dict):
+        return Placer(str(value["p"]), int(value["n"]))
+    return Team(*(float(amount) for amount in value))
+
+
 class _Part(msgspec.Struct, rename={"kinds": "k", "images": "i", "rows": "m", "odd": "x"}):
     """Machines of a summary in columns; what most machines lack stands apart."""
 
@@ -99,13 +261,14 @@
     odd: dict[int, tuple[int, float | None, int]] = {}
 
 
-class _Head(_Part, rename={"term": "n", "up_s": "u", "revision": "r", "parts": "p"}):
+class _Head(_Part, rename={"term": "n", "up_s": "u", "revision": "r", "parts": "p", "form": "w"}):
     """The first part of a summary, which says how many there are."""
 
     term: int = 0
     up_s: float = 0.0
     revision: int = 0
     parts: int = 1
+    form: int = PLAIN  # the version before says nothing of it
 
 
 def _pack(part: _Part, machines: list[tuple[str, Seen]], images: int) -> None:
@@ -135,7 +298,9 @@
         for images in (4, 2, 1, 0) if number == 1 else (1, 0):
             values: list[dict[str, Any]] = []
             for index in range(number):
-                part: _Part = _Part() if index else _Head([], [], [], {}, *summary[:3], number)
+                part = _Part()
+                if not index:
+                    part = _Head([], [], [], {}, *summary[:3], number, summary.form)
                 _pack(part, machines[index * size : (index + 1) * size], images)
                 value = msgspec.to_builtins(part, str_keys=True)
                 if index:
@@ -146,6 +311,20 @@
     return values
 
 
+def fold_summary(summary: Summary, value_bytes: float) -> list[Any]:
+    """The summary's values in the second form: as few as they can be, then names of images."""
+    machines = sorted(summary.machines.items())
+    best: list[Any] = []
+    for images in (0, 1, 2, 4):
+        head = _Head([], [], [], {}, *summary[:3], 1, summary.form)
+        _pack(head, machines, images)
+        values = fold(msgspec.to_builtins(head, str_keys=True), value_bytes)
+        if best and len(values) > len(best):
+            break
+        best = values
+    return best
+
+
 def unpack_summary(values: list[dict[str, Any]]) -> Summary | None:
     """A summary from its values, or None when they are not of one writing."""
     head = msgspec.convert(values[0], _Head, strict=False)
@@ -166,7 +345,7 @@
                 errors,
                 tuple(part.images[int(image)] for image in images),
             )
-    return Summary(head.term, head.up_s, head.revision, machines)
+    return Summary(head.term, head.up_s, head.revision, machines, head.form)
 
 
 _FLEET_STATES = ("rented", "draining", "gone")
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -12,6 +12,9 @@
 import msgspec
 import sexpdata
 
+# What the smallest state service that can be served takes.
+LEAST_TXN_OPS, LEAST_VALUE_KB = 4, 2.0
+
 
 class SettingsError(Exception):
     """A settings file that cannot be used; the text names the field."""
@@ -67,6 +70,15 @@
     gang_peer_s: float = 5.0
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have some day; what is absent stays as it is."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     """Limits of the state service."""
 
@@ -74,6 +86,23 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    @property
+    def value_bytes(self) -> float:
+        return self.value_kb * 1024
+
+    def least(self) -> "State":
+        """The smaller of today's limits and those that may begin without notice."""
+        if self.next is None:
+            return self
+        coming = msgspec.structs.asdict(self.next)
+        smaller = {
+            name: min(value, getattr(self, name))
+            for name, value in coming.items()
+            if value is not None
+        }
+        return msgspec.structs.replace(self, **smaller, next=None)
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -202,15 +231,27 @@
     for group, names in (
         (d.workers, ("report_s", "lease_s", "cancel_s", "gang_wait_s", "gang_peer_s")),
         (d.state, ("rps", "write_rps", "value_kb")),
+        (d.state.next, ("rps", "write_rps", "value_kb")),
         (d.cloud, ("rps",)),
         (d.quota, ("cpu", "memory_mb", "max_sockets")),
     ):
+        section = {"NextState": "state.next"}.get(
+            type(group).__name__, type(group).__name__.lower()
+        )
         for name in names:
-            _positive(f"deployment.{type(group).__name__.lower()}.{name}", getattr(group, name))
-    if d.state.txn_ops < 4:
-        raise SettingsError("deployment.state.txn_ops: must be at least 4")
-    if d.state.value_kb < 2:
-        raise SettingsError("deployment.state.value_kb: must be at least 2 to hold a job's start")
+            if (value := getattr(group, name, None)) is not None:
+                _positive(f"deployment.{section}.{name}", value)
+    for name, limits in (("state", d.state), ("state.next", d.state.next)):
+        if limits is None:
+            continue
+        if limits.txn_ops is not None and limits.txn_ops < LEAST_TXN_OPS:
+            # The end of a job whose record takes three values: those go, its outcome comes.
+            raise SettingsError(f"deployment.{name}.txn_ops: must be at least {LEAST_TXN_OPS}")
+        if limits.value_kb is not None and limits.value_kb < LEAST_VALUE_KB:
+            raise SettingsError(
+                f"deployment.{name}.value_kb: must be at least {LEAST_VALUE_KB:g} "
+                "to hold a job's start"
+            )
     nodes = [platform.node_name, *(p.node_name for p in platform.peers)]
     if len(set(nodes)) != len(nodes):
         raise SettingsError("peers: node names must differ")
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -8,25 +8,27 @@
 from typing import Any, NamedTuple
 
 import anyio
+import msgspec
 
 from sandladder import wire
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View
+from sandladder.limits import Limits
 from sandladder.mirror import Mirror
-from sandladder.model import PRODUCTION, JobSpec
-from sandladder.records import PREFIXES, ROOT
-from sandladder.settings import State
+from sandladder.model import PRODUCTION
+from sandladder.records import PREFIXES, ROOT, TEAM
+from sandladder.settings import LEAST_TXN_OPS, State
 
 log = logging.getLogger(__name__)
 
 
 # Priorities of changes: lower goes first.
-P_HOLD, P_USER, P_START, P_WORK = 0, 1, 1.5, 2
+P_HOLD, P_USER, P_START, P_WORK, P_IDLE = 0, 1, 1.5, 2, 9
 
 
-def work_priority(spec: JobSpec) -> float:
+def work_priority(priority: int) -> float:
     """Among work, more urgent jobs' changes go first."""
-    return P_WORK + (PRODUCTION - spec.priority) / 10
+    return P_WORK + (PRODUCTION - priority) / 10
 
 
 class Unavailable(Exception):
@@ -41,6 +43,10 @@
     """The lease has ended."""
 
 
+class TooLarge(Exception):
+    """The service refused a transaction as such: it holds too much for it."""
+
+
 class Rejected(Exception):
     """A transaction whose conditions did not hold."""
 
@@ -75,8 +81,10 @@
     find room and large ones never.  Refusals shrink it further, successes let it grow again.
     """
 
-    def __init__(self, whole: float) -> None:
+    def __init__(self, whole: float, least: float | None = None) -> None:
         self._whole = 0.95 * whole
+        # How far refusals shrink it; a smaller limit may begin without notice.
+        self._floor = 0.7 * min(1.0, (least or whole) / whole)
         self.share = 1.0
         self._trust = 1.0
         self._tokens = self._burst
@@ -120,7 +128,7 @@
         Seen in a measured day: halving on each refusal left three quarters of the limit
         unused, for two controllers that meet by chance are no sign of too high a rate.
         """
-        self._trust = max(0.7, self._trust * 0.95)
+        self._trust = max(self._floor, self._trust * 0.95)
         self._tokens = min(self._tokens + amount, 0.0)
 
 
@@ -131,8 +139,9 @@
         self._client = client
         self._timeout = timeout
         self.limits = limits
-        self.writes = Budget(limits.write_rps)
-        self.requests = Budget(limits.rps)
+        least = limits.least()
+        self.writes = Budget(limits.write_rps, least.write_rps)
+        self.requests = Budget(limits.rps, least.rps)
         self.ok_at = float("-inf")  # when it last answered
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
@@ -209,7 +218,7 @@
             text = wire.loads_map(answer.body).get("error")
             if text == "no such lease":
                 raise NoLease
-            raise Refused(f"the state service refused a transaction: {text}")
+            raise TooLarge(f"the state service refused a transaction: {text}")
         self.writes.allowed()
         return wire.parse_revision(self._ok(answer))
 
@@ -288,17 +297,20 @@
 
     async def _advance(self) -> None:
         found = await self._state.follow(self._mirror.revision) if self.loaded else None
+        read: set[str] = set()
         if found is None:
-            await self._load()
+            read = await self._load()
             found = await self._state.follow(self._mirror.revision)
             if found is None:
                 raise Unavailable("the log moved on while it was read")
-            self.loaded = True
-        changed = self._mirror.apply(*found)
+        # Nobody acts on what was read before the changes made meanwhile are in: records of
+        # several parts may not fit together until then.
+        changed = read | self._mirror.apply(*found)
+        self.loaded = True
         if changed:
             self._on_change(changed)
 
-    async def _load(self) -> None:
+    async def _load(self) -> set[str]:
         items: list[tuple[str, Any, int]] = []
         revisions = []
         for prefix in PREFIXES:
@@ -307,7 +319,7 @@
             items += found
         changed = self._mirror.reset(min(revisions), items)
         log.info("read %d records as of revision %d", len(items), min(revisions))
-        self._on_change(changed)
+        return changed
 
 
 def _kind(key: str) -> str:
@@ -367,10 +379,18 @@
         watch: Watch,
         rng: Random,
         on_change: Callable[[set[str]], None],
+        limits: Limits,
+        trust_s: float,
         most_queued: int = 2048,
     ) -> None:
         self._state = state
         self._mirror = mirror
+        self._limits = limits
+        # How long limits that were found smaller than the settings are kept so.
+        self._trust_s = trust_s
+        self._shrunk_at = float("-inf")
+        # Keys that a transaction without an answer relied on, and did not change.
+        self.unsure: set[str] = set()
         self._watch = watch
         self._rng = rng
         self._on_change = on_change
@@ -378,6 +398,7 @@
         self._work = Signal()
         self._most_queued = most_queued
         self._share = 1.0  # of a full transaction; rejections shrink it
+        self._one_by_one = False  # to find the change that the service refuses
         self.committed = 0
         self.rejected = 0
         # What was committed and what was rejected, by kind of key.
@@ -418,6 +439,8 @@
         self._queue = [c for c in self._queue if not c.abandoned]
         if not self._queue:
             return
+        if self._limits.shrunk and anyio.current_time() - self._shrunk_at > self._trust_s:
+            self._limits.trust()
         self._queue.sort(key=lambda c: c.priority)
         # While our budget is short, work waits.  What a user or the hold waits for, or work that
         # must start at once, goes alone: should the service refuse it, it is soon tried again.
@@ -438,25 +461,24 @@
         if len(body) > 0.6 * wire.BODY_LIMIT and len(chosen) > 1:
             self._share = max(0.1, self._share / 2)
             return
-        await self._send(body, changes, chosen)
+        await self._send(view, body, changes, chosen)
 
     def _gather(self, last: float) -> tuple[View, list[Change]]:
         """Evaluate changes of a priority up to `last` while they fit one transaction."""
         # Where controllers spend their shares in large pieces, they meet and are refused.
         piece = 1.5 * self._state.limits.write_rps * self._state.writes.share
-        most = max(4, int(min(self._state.limits.txn_ops * self._share, piece)))
-        view = View(self._mirror)
+        most = max(LEAST_TXN_OPS, int(min(self._limits.txn_ops * self._share, piece)))
+        view = View(self._mirror, self._limits.value_bytes, self.unsure)
         chosen: list[Change] = []
         for change in list(self._queue):
             if change.priority > last:
                 break
-            if chosen and (
-                view.size + change.adds(view) > most
-                or len(view.guards) + 2 * change.cost > 4 * self._state.limits.txn_ops
-            ):
+            if chosen and (self._one_by_one or view.size + change.adds(view) > most):
                 break
+            trial = view.fork()
             try:
-                useful = change.apply(view)
+                useful = change.apply(trial)
+                size = trial.size if useful else 0
             except Refused as refusal:
                 self._settle(change, refusal)
                 continue
@@ -464,10 +486,18 @@
                 log.exception("the change %s cannot be evaluated", change.name)
                 self._settle(change, Refused(str(error)))
                 continue
-            if useful:
-                chosen.append(change)
-            else:
+            if not useful:
                 self._settle(change)
+                continue
+            if size > most or len(trial.guards) > self._limits.conditions:
+                if chosen:
+                    break
+                if size > self._limits.txn_ops or len(trial.guards) > self._limits.conditions:
+                    log.error("%s: %d changes are too many for the store", change.name, size)
+                    self._settle(change, Refused("too large for the store"))
+                    continue
+            view = trial
+            chosen.append(change)
         return view, chosen
 
     def _settle(self, change: Change, error: Exception | None = None) -> None:
@@ -476,7 +506,11 @@
         change.settle(error)
 
     async def _send(
-        self, body: bytes, changes: list[tuple[str, Any, int | None]], chosen: list[Change]
+        self,
+        view: View,
+        body: bytes,
+        changes: list[tuple[str, Any, int | None]],
+        chosen: list[Change],
     ) -> None:
         try:
             revision = await self._state.commit(body, len(changes))
@@ -495,7 +529,10 @@
         except UnknownOutcome as error:
             log.info("a transaction had no answer (%s): reading back", error)
             # Its guards make it harmless should it be applied later: what is done next
-            # moves the same versions, or finds them moved.
+            # moves the same versions, or finds them moved.  What it relied on without
+            # changing it is moved by whoever relies on it next.
+            moved = {key for key, _, _ in changes}
+            self.unsure |= {k for k in view.guards if k.startswith(TEAM) and k not in moved}
             await self._watch.barrier()
         except Unavailable as error:
             log.debug("not committed: %s", error)
@@ -504,11 +541,15 @@
             for change in chosen:
                 if change.leased:
                     self._settle(change, NoLease())
-        except Refused as refusal:
-            log.error("%s: %s", [c.name for c in chosen], refusal)
-            if len(chosen) == 1:
-                self._settle(chosen[0], refusal)
-            self._share = 0.1
+        except TooLarge as refusal:
+            # A sign to shrink: it is never tried again as it is.
+            largest = max((len(msgspec.json.encode(v)) for _, v, _ in changes), default=0)
+            log.warning("%s: %s", [c.name for c in chosen], refusal)
+            self._shrunk_at = anyio.current_time()
+            if not self._limits.refused(len(changes), largest):
+                if len(chosen) == 1:
+                    self._settle(chosen[0], Refused(str(refusal)))
+                self._one_by_one = True
         else:
             self.committed += 1
             self.wrote.update(_kind(key) for key, _, _ in changes)
@@ -516,6 +557,8 @@
                 if change.on_commit is not None:
                     change.on_commit()
             self._share = min(1.0, self._share * 1.5)
+            self._one_by_one = False
+            self.unsure -= {key for key, _, _ in changes}
             changed = self._mirror.wrote(revision, [(key, value) for key, value, _ in changes])
             for change in chosen:
                 self._settle(change)
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -10,16 +10,17 @@
 from sandladder import wire
 from sandladder.http import Request, Response
 from sandladder.lifecycle import (
+    Needs,
     Refused,
     View,
     cancel,
     rejection,
     submit,
 )
-from sandladder.model import CANCELLED, DONE, Final, Job, JobSpec
+from sandladder.model import CANCELLED, DONE, GANG, SERVICE, Final, Job, JobSpec
 from sandladder.peers import BUSY, Asked
-from sandladder.placement import SPEC_SHARE
-from sandladder.records import FINAL, job_value
+from sandladder.pipelines import Fate
+from sandladder.records import FINAL, FORM, JOB, PLAIN, fold, job_value, read_final
 from sandladder.store import (
     P_USER,
     Change,
@@ -49,7 +50,9 @@
             return await self._only("GET", request, self._health)
         # Users' requests are idempotent.  One that the state service leaves waiting here is
         # given to a peer that reaches it, at once when we know that we do not.
-        peer = self._c.peers.abler()
+        # A submission that names others goes to none that might not understand it.
+        names = path == wire.JOBS and wire.names_others(request.body)
+        peer = self._c.peers.abler(FORM if names else PLAIN)
         if peer is None:
             return await self.guarded(lambda: self.route(request), path)
         if self._c.state_ok():
@@ -115,21 +118,33 @@
 
     async def _lookup(self, job_id: str) -> Job | Final | None:
         """A job as of now: read after the question came."""
-        final = self._c.mirror.finals.get(job_id)
+        mirror = self._c.mirror
+        final = mirror.finals.get(job_id)
         if final is not None:
             return final  # finished jobs do not change
         with anyio.fail_after(self._c.report_s / 2):
             await self._c.watch.barrier()
-            job = self._c.mirror.jobs.get(job_id)
+            if JOB + job_id in mirror.unreadable:
+                raise Unavailable("its record cannot be read")
+            job = mirror.jobs.get(job_id)
             if job is not None:
+                # A job that one of these dooms has been called cancelled perhaps, by a
+                # controller that knew of it: no later answer may be older.
+                unknown = mirror.pipelines.uncertain(job)
+                if unknown:
+                    await self._c.following.resolve(unknown)
                 return job
-            found = self._c.mirror.finals.get(job_id)
-            if found is not None:
-                return found
-            stored = await self._c.state.get(FINAL + job_id)
+            return await self._finished(job_id)
+
+    async def _finished(self, job_id: str) -> Final | None:
+        """What a job that is not live came to, or None if it was never accepted."""
+        found = self._c.mirror.finals.get(job_id)
+        if found is not None:
+            return found
+        stored = await self._c.state.get(FINAL + job_id)
         if stored is None:
             return None
-        final = Final(*stored[0])
+        final = read_final(*stored)
         self._c.mirror.remember(job_id, final)
         return final
 
@@ -138,18 +153,23 @@
             return Response(404, wire.error_body("no such job"))
         return self._state_answer(job_id, await self._lookup(job_id))
 
-    @staticmethod
-    def _state_answer(job_id: str, found: Job | Final | None) -> Response:
+    def _state_answer(self, job_id: str, found: Job | Final | None) -> Response:
         if found is None:
             return Response(404, wire.error_body("no such job"))
         if isinstance(found, Final):
             return Response(200, wire.job_status(job_id, found.state, found.done))
         running = len(found.live)
-        return Response(200, wire.job_status(job_id, found.state, found.done.count, running))
+        state = self._standing(found)
+        return Response(200, wire.job_status(job_id, state, found.done.count, running))
+
+    def _standing(self, job: Job) -> str:
+        """A live job's state; one that can never start is cancelled, as the records imply."""
+        doomed = self._c.mirror.pipelines.fate(job) is Fate.DOOMED
+        return CANCELLED if doomed else job.state
 
     async def _submit(self, request: Request) -> Response:
         try:
-            spec = wire.parse_job(request.body)
+            spec, awaits = wire.parse_job(request.body)
             problem, status = None, 0
         except wire.Malformed as error:
             problem, status = str(error), 400
@@ -163,9 +183,16 @@
             if not self._c.mirror.types:
                 return Response(503, wire.error_body("the machine types are not known yet"), 1)
             problem = rejection(spec, self._c.mirror.types, self._c.picture.limits)
-            if problem is None and self._too_large(spec):
-                problem = "its description is too large to be kept"
             status = 422
+        needs = Needs()
+        if problem is None and awaits:
+            if self._c.mirror.form == PLAIN and await self._lookup(job_id) is None:
+                # A controller of the version before would start it at once.
+                text = "not all controllers know of jobs that wait for others yet"
+                return Response(503, wire.error_body(text), 1)
+            needs, problem = await self._needs(spec, awaits)
+        if problem is None:
+            problem = self._unfit(spec, needs)
         if problem is not None:
             # A job that was accepted stays so, whatever a later submission says.
             found = await self._lookup(job_id)
@@ -179,40 +206,75 @@
             f"submission of {job_id}",
             P_USER,
             1,
-            lambda view: self._apply_submit(view, spec, now),
+            lambda view: self._apply_submit(view, spec, now, needs),
             final=FINAL + job_id,
         )
         try:
             with anyio.fail_after(self._c.report_s):
                 await self._c.committer.add(change).wait()
         except Refused:
-            return self._state_answer(job_id, await self._lookup(job_id))
+            found = await self._lookup(job_id)
+            return BUSY if found is None else self._state_answer(job_id, found)
         self._c.peers.poke({self._c.peers.owner(spec.team)})
         return Response(201, wire.job_status(job_id, "pending"))
 
-    def _too_large(self, spec: JobSpec) -> bool:
-        """Whether the job's record would leave no room for its starts."""
-        value_bytes = self._c.settings.platform.deployment.state.value_kb * 1024
-        return len(msgspec.json.encode(job_value(Job(spec, self._c.wall())))) > (
-            SPEC_SHARE * value_bytes
-        )
+    async def _needs(self, spec: JobSpec, awaits: tuple[str, ...]) -> tuple[Needs, str | None]:
+        """What a submission names, as of now, and why it cannot be accepted, if so."""
+        mirror = self._c.mirror
+        if spec.id in awaits:
+            return Needs(), "awaits: a job cannot wait for itself"
+        live, over = [], []
+        with anyio.fail_after(self._c.report_s / 2):
+            await self._c.watch.barrier()
+            for name in awaits:
+                if JOB + name in mirror.unreadable:
+                    raise Unavailable(f"the record of {name} cannot be read")
+                job = mirror.jobs.get(name)
+                if job is None:
+                    over.append(name)
+                elif job.spec.kind == SERVICE:
+                    return Needs(), f"awaits: {name} is a service and never done"
+                else:
+                    live.append(job)
+            finals = [await self._finished(name) for name in over]
+        for name, final in zip(over, finals, strict=True):
+            if final is None:
+                return Needs(), f"awaits: {name} was never accepted"
+        doomed = any(final is not None and final.state == CANCELLED for final in finals)
+        doomed = doomed or any(self._standing(job) == CANCELLED for job in live)
+        return Needs(tuple(job.id for job in live), doomed), None
+
+    def _unfit(self, spec: JobSpec, needs: Needs) -> str | None:
+        """Why the store could not keep this job, or None."""
+        limits = self._c.limits
+        record = job_value(Job(spec, self._c.wall(), needs.live))
+        if self._c.mirror.form == PLAIN:
+            size = len(msgspec.json.encode(record))
+        else:
+            parts = fold(record, limits.value_bytes)
+            size = sum(len(msgspec.json.encode(part)) for part in parts)
+            if spec.kind == GANG and spec.tasks > limits.most_live(size):
+                return "so many tasks at a time are more than can be kept"
+        return "its description is too large to be kept" if size > limits.spec_room() else None
 
     @staticmethod
-    def _apply_submit(view: View, spec: JobSpec, now: float) -> bool:
-        submit(view, spec, now)
+    def _apply_submit(view: View, spec: JobSpec, now: float, needs: Needs) -> bool:
+        submit(view, spec, now, needs)
         return True
 
     async def _cancel(self, job_id: str) -> Response:
         if not wire.is_job_id(job_id):
             return Response(404, wire.error_body("no such job"))
         found = await self._lookup(job_id)
-        if found is None or isinstance(found, Final) or found.cancelled:
-            if found is None:
-                return Response(404, wire.error_body("no such job"))
+        if found is None:
+            return Response(404, wire.error_body("no such job"))
+        if isinstance(found, Final):
             return Response(200, wire.job_status(job_id, found.state))
+        if self._standing(found) == CANCELLED:
+            return Response(200, wire.job_status(job_id, CANCELLED))
 
         def apply(view: View) -> bool:
-            cancel(view, job_id)
+            cancel(view, job_id, self._c.wall())
             return True
 
         clerks = set()
--- a/src/sandladder/wire.py
+++ b/src/sandladder/wire.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Iterable
 from math import isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 import cbor2
 
@@ -42,6 +42,8 @@
 TASK_LIMIT = 100_000
 TEXT_LIMIT = 128
 COUNT_LIMIT = 1 << 64
+# Jobs that one submission may name; a record must hold them.
+AWAITS_LIMIT = 128
 
 _KINDS = {"array": "array", "group": GANG, "service": "service"}
 _PRIORITIES = {"prod": 3, "urgent": 2, "normal": 1, "idle": 0}
@@ -132,7 +134,29 @@
     return words[value]
 
 
-def parse_job(body: bytes) -> JobSpec:
+class Submission(NamedTuple):
+    """What a user asks for: a job, and the jobs that must be done before it starts."""
+
+    spec: JobSpec
+    awaits: tuple[str, ...] = ()
+
+
+def _awaits(raw: dict[Any, Any]) -> tuple[str, ...]:
+    """The jobs that a submission names; one named twice counts once."""
+    names = raw.get("awaits")
+    if names is None:
+        return ()
+    if not isinstance(names, list):
+        raise Malformed("awaits: a list is needed")
+    if len(names) > AWAITS_LIMIT:
+        raise Malformed(f"awaits: more than {AWAITS_LIMIT} jobs")
+    for name in names:
+        if not isinstance(name, str) or not is_job_id(name):
+            raise Malformed("awaits: job ids are needed")
+    return tuple(dict.fromkeys(names))
+
+
+def parse_job(body: bytes) -> Submission:
     """A submission; raises Malformed for anything that deserves a 400."""
     raw = loads_map(body)
     if not is_job_id(_text(raw, "id")):
@@ -145,7 +169,7 @@
     cpus = _number(raw, "vcpus")
     if cpus <= 0:
         raise Malformed("vcpus: must be above 0")
-    return JobSpec(
+    spec = JobSpec(
         id=raw["id"],
         cls=_text(raw, "docket"),
         team=_text(raw, "bureau"),
@@ -167,6 +191,15 @@
         save_s=_number(raw, "stamp_s"),
         deadline_s=None if raw.get("due_s") is None else _number(raw, "due_s"),
     )
+    return Submission(spec, _awaits(raw))
+
+
+def names_others(body: bytes) -> bool:
+    """Whether a submission names jobs that it waits for."""
+    try:
+        return bool(loads_map(body).get("awaits"))
+    except Malformed:
+        return False
 
 
 def id_of(body: bytes) -> str | None:
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -11,7 +11,7 @@
 import anyio
 
 from sandladder import mesh
-from sandladder.lifecycle import Ended, Refused, View, end, start
+from sandladder.lifecycle import Ended, Refused, View, end, settle, start
 from sandladder.model import ARRAY, HIGH
 from sandladder.premises import Intent, Outcome
 from sandladder.records import JOB
@@ -110,7 +110,7 @@
         if len(self._ends[item.job]) >= len(job.live):
             return True
         cpus, gpus = self._c.picture.team_left(job.spec.team)
-        bound = len(job.live) >= self._c.planner.most_live
+        bound = len(job.live) >= self._c.planner.most_live(job.spec)
         return job.waiting > 0 and (bound or cpus < job.spec.cpus or gpus < job.spec.gpus)
 
     def _note(self, item: Ended) -> None:
@@ -178,10 +178,21 @@
         job = self._c.mirror.jobs.get(job_id)
         if job is None:
             return P_WORK
+        priority = self._c.picture.outlook(job).priority
         fresh = not job.live and not job.done.count
-        if fresh and job.spec.priority >= HIGH and job_id in self._starts:
+        if fresh and priority >= HIGH and job_id in self._starts:
             return P_START
-        return work_priority(job.spec)
+        if self._releases(job_id):
+            return P_START
+        return work_priority(priority)
+
+    def _releases(self, job_id: str) -> list[str]:
+        """The teams whose jobs wait for this one, when its last ends are to be committed."""
+        job = self._c.mirror.jobs.get(job_id)
+        ends = len(self._ends.get(job_id, ()))
+        if job is None or job.waiting or not 0 < len(job.live) <= ends:
+            return []
+        return [needer.spec.team for needer in self._c.mirror.pipelines.needers(job_id)]
 
     def _commit(self, job_id: str) -> None:
         if job_id in self._under_way:
@@ -205,20 +216,27 @@
         if job is None:
             return 0
         ends = len(self._ends.get(job_id, ()))
-        return 1 + (job.spec.team not in view.teams) + (0 < len(job.live) <= ends)
+        team = view.plain and job.spec.team not in view.teams
+        return 1 + team + (0 < len(job.live) <= ends)
 
     def _apply(self, view: View, job_id: str) -> bool:
         c = self._c
         c.picture.now = anyio.current_time()
         self._released[job_id] = []
-        useful = end(view, self._ends.get(job_id, {}).values())
+        useful = end(view, self._ends.get(job_id, {}).values(), c.wall())
         passed = self._release(job_id)
         job = c.mirror.jobs.get(job_id)
         if not passed or job is None or not c.hold.alive():
             return useful
         limits = c.picture.limits.get(job.spec.team, TeamLimits(""))
+        room = c.limits.conditions // 2
+        if len(job.awaits) > room:
+            # More premises than a commit can bind: some are recorded ahead of the start.
+            self._withdraw(passed)
+            return settle(view, job_id, room) or useful
         try:
-            start(view, job_id, [intent.placement for intent in passed], limits)
+            places = [intent.placement for intent in passed]
+            start(view, job_id, places, limits, c.teams.placer)
         except Refused as refusal:
             log.debug("starts of %s: %s", job_id, refusal)
             self._withdraw(passed)
@@ -230,7 +248,10 @@
         """They are starts now: their own news must not be held against them."""
         released = self._released.get(job_id, [])
         self._withdraw(released)
-        self._c.peers.poke({intent.clerk for intent in released})
+        told = {intent.clerk for intent in released}
+        # Whoever places the jobs that wait for this one should know of its end at once.
+        told |= {self._c.peers.owner(team) for team in self._releases(job_id)}
+        self._c.peers.poke(told)
 
     async def _after(self, change: Change, job_id: str) -> None:
         try:
@@ -272,7 +293,7 @@
                 job_id,
                 job.spec.cls,
                 len(released),
-                c.wall() - job.submitted,
+                c.wall() - c.picture.since(job),
                 max(c.picture.fetch_wait_s(i.spec, i.placement) for i in released),
                 c.mirror.version(JOB + job_id),
             )
