--- a/src/sandladder/following.py
+++ b/src/sandladder/following.py
@@ -6,6 +6,7 @@
 import anyio
 
 from sandladder.lifecycle import Refused, View, cancel
+from sandladder.model import Final
 from sandladder.records import FINAL, read_final
 from sandladder.store import P_USER, Change, Signal, Unavailable
 
@@ -15,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 # Records of finished jobs that are read at a time.
-_AT_ONCE = 4
+_AT_ONCE = 8
 
 
 class Following:
@@ -48,29 +49,42 @@
                 self._cancel_doomed()
 
     async def resolve(self, names: list[str]) -> None:
-        """Read what these jobs came to; they are not live."""
-        left = list(names)
+        """Read what awaited jobs came to that are not live."""
+        for name, final in (await self.finals(names)).items():
+            if final is not None:
+                self._missing.pop(name, None)
+                self._c.plan_due.set()
+            elif name not in self._c.mirror.jobs:
+                # Named by an accepted job, so accepted, and gone: what needs it stays closed.
+                if name not in self._missing:
+                    log.error("nothing is known of %s, which others wait for", name)
+                self._missing[name] = anyio.current_time() + self._c.lease_s
+
+    async def finals(self, names: list[str]) -> dict[str, Final | None]:
+        """What these jobs came to, as read now where it is not known already."""
+        mirror = self._c.mirror
+        found: dict[str, Final | None] = {name: mirror.finals.get(name) for name in names}
+        left = [name for name, final in found.items() if final is None]
+        failures: list[Unavailable] = []
 
         async def read() -> None:
-            while left:
-                await self._read(left.pop())
+            while left and not failures:
+                name = left.pop()
+                try:
+                    stored = await self._c.state.get(FINAL + name)
+                except Unavailable as error:
+                    failures.append(error)
+                    return
+                if stored is not None:
+                    final = found[name] = read_final(*stored)
+                    mirror.remember(name, final)
 
         async with anyio.create_task_group() as tasks:
             for _ in range(min(_AT_ONCE, len(left))):
                 tasks.start_soon(read)
-
-    async def _read(self, name: str) -> None:
-        mirror = self._c.mirror
-        stored = await self._c.state.get(FINAL + name)
-        if stored is not None:
-            mirror.remember(name, read_final(*stored))
-            self._missing.pop(name, None)
-            self._c.plan_due.set()
-        elif name not in mirror.jobs:
-            # Named by an accepted job, so accepted, and gone: what needs it stays closed.
-            if name not in self._missing:
-                log.error("nothing is known of %s, which others wait for", name)
-            self._missing[name] = anyio.current_time() + self._c.lease_s
+        if failures:
+            raise failures[0]
+        return found
 
     def _cancel_doomed(self) -> None:
         c = self._c
--- a/src/sandladder/limits.py
+++ b/src/sandladder/limits.py
@@ -15,7 +15,7 @@
 _MOST_PARTS = 3
 # What a task alone on its machine takes of its job's record, with holes in what is done:
 # written plainly, and folded.
-_ITEM_BYTES, _FOLDED_ITEM_BYTES = 32, 17
+_ITEM_BYTES, _FOLDED_ITEM_BYTES = 32, 20
 # The share of a plain record that is for what is live; the rest is for the job itself.
 _LIVE_SHARE, _SPEC_SHARE = 0.7, 0.28
 # The share of a folded record that is at least left for what is live.
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -20,7 +20,7 @@
 from sandladder.model import CANCELLED, DONE, GANG, SERVICE, Final, Job, JobSpec
 from sandladder.peers import BUSY, Asked
 from sandladder.pipelines import Fate
-from sandladder.records import FINAL, FORM, JOB, PLAIN, fold, job_value, read_final
+from sandladder.records import FINAL, FORM, JOB, PLAIN, fold, job_value
 from sandladder.store import (
     P_USER,
     Change,
@@ -134,19 +134,7 @@
                 if unknown:
                     await self._c.following.resolve(unknown)
                 return job
-            return await self._finished(job_id)
-
-    async def _finished(self, job_id: str) -> Final | None:
-        """What a job that is not live came to, or None if it was never accepted."""
-        found = self._c.mirror.finals.get(job_id)
-        if found is not None:
-            return found
-        stored = await self._c.state.get(FINAL + job_id)
-        if stored is None:
-            return None
-        final = read_final(*stored)
-        self._c.mirror.remember(job_id, final)
-        return final
+            return (await self._c.following.finals([job_id]))[job_id]
 
     async def _status(self, job_id: str) -> Response:
         if not wire.is_job_id(job_id):
@@ -223,7 +211,8 @@
         mirror = self._c.mirror
         if spec.id in awaits:
             return Needs(), "awaits: a job cannot wait for itself"
-        live, over = [], []
+        live: list[Job] = []
+        over: list[str] = []
         with anyio.fail_after(self._c.report_s / 2):
             await self._c.watch.barrier()
             for name in awaits:
@@ -236,11 +225,11 @@
                     return Needs(), f"awaits: {name} is a service and never done"
                 else:
                     live.append(job)
-            finals = [await self._finished(name) for name in over]
-        for name, final in zip(over, finals, strict=True):
+            finals = await self._c.following.finals(over)
+        for name, final in finals.items():
             if final is None:
                 return Needs(), f"awaits: {name} was never accepted"
-        doomed = any(final is not None and final.state == CANCELLED for final in finals)
+        doomed = any(final and final.state == CANCELLED for final in finals.values())
         doomed = doomed or any(self._standing(job) == CANCELLED for job in live)
         return Needs(tuple(job.id for job in live), doomed), None
 
