--- a/src/sandladder/cli.py
+++ b/src/sandladder/cli.py
@@ -35,6 +35,12 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit without serving"
     )
+    parser.add_argument(
+        "--retire",
+        metavar="NODE",
+        help="say that a controller of the settings never comes back, so that an upgrade does "
+        "not wait for it, and exit (see docs/upgrading.md)",
+    )
     parser.add_argument("--version", action="version", version=f"sandladder {__version__}")
     return parser
 
@@ -45,6 +51,25 @@
     await Controller(settings, Random()).run()
 
 
+async def _retire(settings: Settings, node: str) -> str | None:
+    from sandladder.http import Client
+    from sandladder.settings import split_addr
+    from sandladder.store import StateClient, Unavailable, UnknownOutcome
+    from sandladder.upgrade import retire
+
+    if node not in settings.node_names:
+        return f"{node} is not named in the settings"
+    deployment = settings.platform.deployment
+    client = Client(*split_addr(settings.platform.external.state))
+    state = StateClient(client, deployment.state, deployment.workers.lease_s)
+    try:
+        return await retire(state, node)
+    except (Unavailable, UnknownOutcome) as error:
+        return f"the state service: {error}"
+    finally:
+        await client.aclose()
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the program; the exit status."""
     args = _parser().parse_args(argv)
@@ -57,6 +82,13 @@
     if args.check:
         print(f"sandladder: the settings of {settings.node} are good")
         return 0
+    if args.retire is not None:
+        problem = anyio.run(_retire, settings, args.retire)
+        if problem is not None:
+            print(f"sandladder: {problem}", file=sys.stderr)
+            return 1
+        print(f"sandladder: an upgrade no longer waits for {args.retire}")
+        return 0
     level = os.environ.get("LOG_LEVEL", "info").lower()
     logging.basicConfig(
         stream=sys.stderr,
--- /dev/null
+++ b/tests/test_samples.py
@@ -0,0 +1,110 @@
+"""Today's code against samples of what the version in production writes and says.
+
+The samples were made by running that version (`samples.py`); these checks need no history.
+"""
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+
+import production
+import samples
+from helpers import LIMITS, commit
+from sandladder import mesh
+from sandladder.lifecycle import Ended, Placement, View, end, start
+from sandladder.mirror import Mirror
+from sandladder.model import Final, Job, Machine, Seen, Summary, Team
+from sandladder.records import (
+    FORM,
+    JOB,
+    PLAIN,
+    final_value,
+    fleet_value,
+    job_value,
+    load_job,
+    pack_summary,
+    read_final,
+    read_fleet,
+    read_team,
+    unpack_summary,
+)
+
+KEPT: dict[str, Any] = json.loads(samples.FILE.read_text("utf-8"))
+RECORDS, MESSAGES = KEPT["records"], KEPT["messages"]
+
+
+def plain(value: Any) -> Any:
+    return json.loads(msgspec.json.encode(value))
+
+
+def test_the_samples_are_of_the_version_in_production() -> None:
+    assert KEPT["commit"] == production.commit()
+    if production.missing() is not None:
+        pytest.skip(str(production.missing()))
+    assert json.loads(json.dumps(samples.make(), default=list)) == KEPT
+
+
+@pytest.mark.parametrize("name", [name for name in RECORDS if name.startswith("job")])
+def test_a_job_is_read_and_written_again_as_production_wrote_it(name: str) -> None:
+    found = load_job(RECORDS[name])
+    assert plain(job_value(found)) == RECORDS[name]
+    assert found.awaits == () and found.ready is None
+
+
+def test_other_records_are_read_and_written_again_as_production_wrote_them() -> None:
+    assert read_team(RECORDS["team"]) == Team(12.0, 1.0)
+    final = read_final(RECORDS["final"])
+    assert final == Final("done", 40)
+    assert final_value(final._replace(at=12.0), PLAIN) == RECORDS["final"]
+    assert final_value(final._replace(at=12.0), FORM) == [*RECORDS["final"], 12.0]
+    assert plain(fleet_value(read_fleet(RECORDS["fleet"]))) == RECORDS["fleet"]
+    assert read_fleet(RECORDS["fleet"])["vm-000001"] == Machine(
+        "small", "north", True, "draining", 1001
+    )
+
+
+@pytest.mark.parametrize("name", ["summary", "summary in parts"])
+def test_a_summary_says_one_thing_more_that_production_ignores(name: str) -> None:
+    found = unpack_summary(RECORDS[name])
+    assert found is not None and found.form == PLAIN and found.machines["vm-000003"].session == 2
+    values = pack_summary(found._replace(form=FORM), 8192 if name == "summary" else 400)
+    if name == "summary":
+        assert plain(values[0]) == RECORDS[name][0] | {"w": FORM}
+    assert unpack_summary(values) == found._replace(form=FORM)
+
+
+def test_what_is_written_in_the_plain_form_has_no_key_that_production_would_lose() -> None:
+    mirror = Mirror()
+    mirror.apply(3, [(JOB + "job-000001", RECORDS["job, fresh"], 2), ("s/t/red", [0.0, 0.0], 3)])
+    known = set().union(*(RECORDS[name] for name in RECORDS if name.startswith("job")))
+    view = View(mirror, 200.0)
+    places = [Placement(t, f"vm-{t:06d}", "north", 1) for t in range(20)]
+    start(view, "job-000001", places, LIMITS)
+    for key, value, _ in view.changes():
+        assert isinstance(value, list) if key == "s/t/red" else set(value) <= known
+    commit(mirror, view)
+    assert mirror.teams["red"] == Team(40.0, 0.0)
+    view = View(mirror, 200.0)
+    live: Job = mirror.jobs["job-000001"]
+    assert end(view, [Ended(live.id, t, a, "done") for t, a in live.live.items()], 9.0)
+    assert {key for key, _, _ in view.changes()} == {JOB + live.id, "s/t/red"}
+
+
+def test_messages_are_read_and_said_again_as_production_said_them() -> None:
+    for name, text in MESSAGES.items():
+        message = mesh._decoder.decode(bytes.fromhex(text))
+        again = mesh._encoder.encode(message).hex()
+        if name == "beat":
+            # One element more, at the end, which production ignores.
+            assert isinstance(message, mesh.Beat) and message.form == PLAIN
+            assert msgspec.msgpack.decode(bytes.fromhex(again)) == [
+                *msgspec.msgpack.decode(bytes.fromhex(text)),
+                PLAIN,
+            ]
+        else:
+            assert again == text
+    seen = mesh._decoder.decode(bytes.fromhex(MESSAGES["sighting"]))
+    assert isinstance(seen, mesh.Sighting) and len(seen.seen) == len(Seen._fields)
+    assert Summary._fields[:4] == ("term", "up_s", "revision", "machines")
