--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -170,6 +170,8 @@
         await self._return(wall)
         await self._write()
         self._c.picture.now = anyio.current_time()
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("fleet in cores: %s", self._provision.describe())
         # Asked for all at once: what else this duty sees to should not wait for refusals.
         async with anyio.create_task_group() as tasks:
             for wish in self._provision.wishes(self._c.wall()):
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -350,6 +350,28 @@
                 break
         return used
 
+    def describe(self) -> str:
+        """What the fleet is and what uses it, in cores, for the log."""
+        picture = self.picture
+        cores: Counter[str] = Counter()
+        for machine in picture.machines():
+            room = picture.room(machine)
+            if room is None:
+                continue
+            kind = picture.mirror.types[room.type]
+            name = "spot" if room.spot else "ordinary"
+            cores[name] += round(kind.cpus)
+            cores[f"{name} free" if room.usable else f"{name} unusable"] += round(room.cpus)
+            if room.cpus >= kind.cpus:
+                cores[f"{name} idle"] += round(kind.cpus)
+            for job, _, _ in picture.mirror.attempts_on(machine):
+                cores[f"{name} for {job.spec.cls}"] += round(job.spec.cpus)
+        for machine, record in picture.mirror.fleet.items():
+            if record.state == "rented" and machine not in self._came_up:
+                name = "spot" if record.spot else "ordinary"
+                cores[f"{name} booting"] += round(picture.mirror.types[record.type].cpus)
+        return ", ".join(f"{name} {number}" for name, number in sorted(cores.items()))
+
     def surplus(self, wall: float) -> list[str]:
         """Machines to drain: idle for long, sick, or silent."""
         picture = self.picture
