--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -3,6 +3,7 @@
 One controller at a time is the renter; it decides on the whole fleet once a second or so.
 """
 
+import logging
 import math
 from collections import Counter, deque
 from collections.abc import Collection
@@ -24,6 +25,8 @@
 from sandladder.premises import Room
 from sandladder.settings import TeamLimits
 
+log = logging.getLogger(__name__)
+
 # Shares of the time that work may wait, past which spot or any machines are rented for it.
 _PRESSING_SPOT, _PRESSING_SOON, _PRESSING_ANY = 0.1, 0.4, 0.75
 # How many jobs of a class are remembered.
@@ -146,6 +149,11 @@
                 for job, _, _ in picture.mirror.attempts_on(machine):
                     if job.spec.kind == SERVICE and not self._fill(job.spec, 1, bins):
                         lacking.append(_Lack(job.spec, True, 1))
+        for lack in lacking:
+            log.debug(
+                "%d tasks of %s lack room%s",
+                lack.number, lack.spec.id, " and are worth any" if lack.any_kind else "",
+            )  # fmt: skip
         # Room kept for what may come is not worth the dearer kind where the other will do.
         lacking += [_Lack(spec, not spec.spot, n) for spec, n in self._spares(bins)]
         return self._rent(lacking)
