--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -105,7 +105,8 @@
             if not self._c.watch.loaded:
                 continue
             try:
-                self._c.picture.now = anyio.current_time()
+                now = self._c.picture.now = anyio.current_time()
+                self._c.picture.ahead = self._c.wall() - now
                 self._provision.learn()
                 await self._learn_types()
                 if await self._hold():
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -217,6 +217,7 @@
                 await anyio.sleep(self.report_s / 10)
                 continue
             began = self.picture.now = anyio.current_time()
+            self.picture.ahead = self.wall() - began
             admitted = self.planner.plan(self._owned(), self.work.barred)
             self.work.start(admitted)
             owned = self._owned()
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -13,6 +13,7 @@
 from sandladder.lifecycle import Ended, LossProof, Placement
 from sandladder.mirror import Mirror
 from sandladder.model import (
+    ARRAY,
     Attempt,
     Final,
     Job,
@@ -33,6 +34,8 @@
 SICK_ERRORS = 2
 # Work without any aim goes last, in the order in which it came.
 _SOME_TIME = 1e9
+# So many boots before it must start, work still waits for the cheaper kind of machine.
+_PATIENCE = 4
 
 
 class Sight(NamedTuple):
@@ -92,6 +95,7 @@
         gate.on_move = self._moved
         self.images = Images()
         self.now = 0.0
+        self.ahead = 0.0  # how far the time of day is ahead of the steady clock
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
         self._touched: dict[str, int] = {}
         self._sights: dict[str, Sight] = {}
@@ -307,6 +311,22 @@
         latest = since + self.settings.waits.get(job.spec.cls, _SOME_TIME)
         return min(latest, self.outlook(job).due - self.stage_s(job.spec))
 
+    def boot_s(self, spec: JobSpec) -> float:
+        """How long a machine for it takes to come up."""
+        boots = [t.boot_s for t in self.mirror.types.values() if t.fits(spec)]
+        return min(boots, default=0.0)
+
+    def patient(self, job: Job) -> bool:
+        """Whether a job has time to wait for the cheaper kind of machine.
+
+        Seen in a measured day: work with minutes to spare kept dear machines busy that had
+        been rented for the few tasks that could not wait.
+        """
+        if not job.spec.spot or job.spec.kind != ARRAY:
+            return False
+        left_s = self.latest_start(job) - self.now - self.ahead
+        return left_s > _PATIENCE * self.boot_s(job.spec)
+
     def order_key(self, job: Job) -> tuple[int, int, float]:
         """Who goes first: priority, then teams within their guarantee, then the most urgent."""
         spec = job.spec
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -70,7 +70,7 @@
         for job in jobs:
             if left <= 0:
                 break  # more than can be committed soon would only grow stale
-            like = _likeness(job.spec)
+            like = _likeness(job.spec, picture.patient(job))
             if like in able and not able[like]:
                 continue
             found = self._place(job, rooms, able, pending.get(job.id, []), spent)
@@ -113,10 +113,15 @@
         if not tasks:
             return []
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
-        like = _likeness(spec)
+        patient = picture.patient(job)
+        like = _likeness(spec, patient)
         known = able.get(like)
         like_rooms = able[like] = (
-            {m: room for m, room in rooms.items() if allowed(spec, room) and holds(room, spec)}
+            {
+                m: room
+                for m, room in rooms.items()
+                if allowed(spec, room) and holds(room, spec) and (room.spot or not patient)
+            }
             if known is None
             else {m: rooms[m] for m in known if holds(rooms[m], spec)}
         )
@@ -206,9 +211,9 @@
         return cost
 
 
-def _likeness(spec: JobSpec) -> tuple[object, ...]:
+def _likeness(spec: JobSpec, patient: bool) -> tuple[object, ...]:
     """What decides which machines have room for a task."""
-    return spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot
+    return spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot, patient
 
 
 def _one_zone(spec: JobSpec, able: list[Room], zones: list[str]) -> list[Room]:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -128,7 +128,8 @@
         backlog = 0.0
         for job in jobs:
             spec, count = job.spec, self._startable(job, teams)
-            missing = count - self._fill(spec, count, bins)
+            patient = picture.patient(job)
+            missing = count - self._fill(spec, count, bins, patient)
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
                 age_s = wall - picture.since(job)
@@ -168,7 +169,10 @@
         for machine in heard:
             room = picture.room(machine)
             if room is not None and room.usable:
-                self._capacity += picture.mirror.types[room.type].cpus
+                # What services hold serves no other work.
+                held = (job.spec for job, _, _ in picture.mirror.attempts_on(machine))
+                services = sum(spec.cpus for spec in held if spec.kind == SERVICE)
+                self._capacity += picture.mirror.types[room.type].cpus - services
                 if machine not in without:
                     bins.append(self._bin(room))
         for machine, record in picture.mirror.fleet.items():
@@ -195,8 +199,8 @@
         return count
 
     @staticmethod
-    def _fill(spec: JobSpec, count: int, bins: list[_Bin]) -> int:
-        """Put up to so many tasks into the bins; how many fit."""
+    def _fill(spec: JobSpec, count: int, bins: list[_Bin], patient: bool = False) -> int:
+        """Put up to so many tasks into the bins, of the cheaper kind if patient; how many fit."""
         left = count
         suits: dict[tuple[str, str, bool], bool] = {}
         for found in bins:
@@ -206,7 +210,8 @@
                 continue
             suited = suits.get(found.offer)
             if suited is None:
-                suited = suits[found.offer] = allowed(spec, Machine(*found.offer, "up", 0.0))
+                suited = allowed(spec, Machine(*found.offer, "up", 0.0))
+                suited = suits[found.offer] = suited and (found.offer[2] or not patient)
             if suited:
                 left -= found.take(spec, left)
         return count - left
