--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -325,7 +325,8 @@
         if not job.spec.spot or job.spec.kind != ARRAY:
             return False
         left_s = self.latest_start(job) - self.now - self.ahead
-        return left_s > _PATIENCE * self.boot_s(job.spec)
+        # Work without any aim would wait for ever where there is no cheaper kind.
+        return _PATIENCE * self.boot_s(job.spec) < left_s < _SOME_TIME / 2
 
     def order_key(self, job: Job) -> tuple[int, int, float]:
         """Who goes first: priority, then teams within their guarantee, then the most urgent."""
