--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -212,7 +212,7 @@
 
     async def _plan(self) -> None:
         while True:
-            await self.plan_due.wait(self.report_s)
+            await self.plan_due.wait(min(self.report_s, self.planner.again_s))
             if not self.hold.alive() or not self.watch.loaded or not self.mirror.types:
                 await anyio.sleep(self.report_s / 10)
                 continue
--- a/src/sandladder/eviction.py
+++ b/src/sandladder/eviction.py
@@ -109,12 +109,15 @@
         """The cheapest set of tasks on one machine whose end makes room for a task."""
         picture, spec = self._planner.picture, job.spec
         zones = [attempt.zone for attempt in job.live.values()]
+        in_time = self._planner.in_time(job)
         best: tuple[float, list[Victim]] | None = None
         for machine, room in picture.usable_rooms().items():
             if not allowed(spec, room):
                 continue
             if not zones_allowed(spec, [*zones, room.zone]):
                 continue
+            if in_time is not None and not in_time(room):
+                continue
             cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
             if any(a.stop is not None for _, _, a in picture.mirror.attempts_on(machine)):
                 continue  # room is being made there already
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -291,6 +291,11 @@
 
     # Urgency
 
+    @property
+    def wall(self) -> float:
+        """The time of day."""
+        return self.now + self.ahead
+
     def stage_s(self, spec: JobSpec) -> float:
         """How long a job takes once it may start, if there is room."""
         rates = [t.fetch_gb_per_s for t in self.mirror.types.values() if t.fits(spec)]
@@ -324,7 +329,7 @@
         """
         if not job.spec.spot or job.spec.kind != ARRAY:
             return False
-        left_s = self.latest_start(job) - self.now - self.ahead
+        left_s = self.latest_start(job) - self.wall
         # Work without any aim would wait for ever where there is no cheaper kind.
         return _PATIENCE * self.boot_s(job.spec) < left_s < _SOME_TIME / 2
 
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -7,7 +7,7 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 from random import Random
 
@@ -19,6 +19,8 @@
 from sandladder.picture import Picture, allowed, holds, less
 from sandladder.premises import Intent, Room
 
+# The share of the time to start within that a task waits for a machine with its image.
+_INSIST = 0.7
 # Jobs with pending starts at a time, in changes that one full commit may carry.
 _FULL_COMMITS = 2
 
@@ -32,6 +34,7 @@
         self.avoid: dict[str, set[str]] = {}  # by job, the machines it failed on
         self.waits = picture.settings.waits
         self.limits = limits
+        self.again_s = math.inf  # after so long a plan may look different by itself
 
     def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
         """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off.
@@ -40,6 +43,7 @@
         are about to take, or that was made for them, is not given to lesser work.
         """
         picture = self.picture
+        self.again_s = math.inf
         ready = picture.mirror.pipelines.ready
         mine = {
             job.id
@@ -125,6 +129,9 @@
             if known is None
             else {m: rooms[m] for m in known if holds(rooms[m], spec)}
         )
+        in_time = self.in_time(job)
+        if in_time is not None:
+            like_rooms = {m: room for m, room in like_rooms.items() if in_time(room)}
         chosen = self.choose(spec, like_rooms, zones, len(tasks))
         if not chosen or (spec.kind == GANG and len(chosen) < job.waiting):
             return []
@@ -139,6 +146,23 @@
         )
         return found
 
+    def in_time(self, job: Job) -> Callable[[Room], bool] | None:
+        """Where the job's tasks would start in time, images and all, while that is insisted on.
+
+        Room comes free all the while: a task that is started a moment later where its image
+        is starts earlier than one that waits for the fetch.
+        """
+        picture, spec = self.picture, job.spec
+        within = self.waits.get(spec.cls)
+        if within is None:
+            return None
+        age_s = picture.wall - picture.since(job)
+        left_s = _INSIST * within - age_s
+        if left_s <= 0:
+            return None
+        self.again_s = min(self.again_s, left_s)
+        return lambda room: age_s + picture.fetch_s(spec, room) <= within
+
     def choose(
         self, spec: JobSpec, rooms: dict[str, Room], zones: list[str], count: int
     ) -> list[Room]:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -27,8 +27,10 @@
 
 log = logging.getLogger(__name__)
 
-# Shares of the time that work may wait, past which spot or any machines are rented for it.
-_PRESSING_SPOT, _PRESSING_SOON, _PRESSING_ANY = 0.1, 0.4, 0.75
+# The share of the time that work may wait, past which spot machines are rented for it.
+_PRESSING_SPOT = 0.1
+# Over how many leases the demand is remembered, and which share of that time the fleet serves.
+_DEMAND_LEASES, _DEMAND_SHARE = 4, 0.6
 # How many jobs of a class are remembered.
 _REMEMBERED = 32
 # How many machines one request to the cloud may ask for.
@@ -92,8 +94,11 @@
         self._known: set[str] = set()
         self._pressed = False  # some work lacks room
         self._wasteful_since: dict[str, float] = {}
-        self._capacity = 0.0  # cores of all machines that can be counted on
+        # Cores of all machines that can be counted on, spot or not, but for services.
+        self._capacity = {True: 0.0, False: 0.0}
         self._came_up: set[str] = set()  # machines that have reported
+        # When, and how many cores were in use or asked for: by what cannot wait, and by all.
+        self._demand: deque[tuple[float, float, float]] = deque()
         # Classes whose aim for the start is shorter than machines take to boot.
         self._waits = picture.settings.waits
         self._finishes = picture.settings.finishes
@@ -126,25 +131,19 @@
             key=picture.order_key,
         )
         backlog = 0.0
+        waiting = {True: 0.0, False: 0.0}
         for job in jobs:
             spec, count = job.spec, self._startable(job, teams)
             patient = picture.patient(job)
+            if spec.kind != SERVICE:
+                waiting[patient] += count * spec.cpus
             missing = count - self._fill(spec, count, bins, patient)
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
-                age_s = wall - picture.since(job)
-                eta_s = age_s + backlog / max(self._capacity, spec.cpus)
-                allowance = self._allowance_s(job, age_s)
-                priority = picture.outlook(job).priority
-                any_kind = self._pressing(spec, priority, eta_s, allowance)
-                if any_kind and priority < HIGH and spec.kind != SERVICE:
-                    # Rent ordinary machines for as much as brings it back within its time.
-                    left_s = max(_PRESSING_ANY * allowance - age_s, allowance / 10)
-                    more = math.ceil((backlog / left_s - self._capacity) / spec.cpus)
-                    missing = min(missing, max(1, more))
-                if any_kind is not None:
-                    lacking.append(_Lack(spec, any_kind, missing))
+                lacking += self._worth(job, missing, backlog, wall - picture.since(job), patient)
         self._pressed = bool(lacking)
+        self._note_demand(waiting)
+        lacking += self._short()
         for machine, record in picture.mirror.fleet.items():
             if record.state == "draining":
                 for job, _, _ in picture.mirror.attempts_on(machine):
@@ -162,7 +161,7 @@
     def _bins(self, wall: float, without: Collection[str] = ()) -> list[_Bin]:
         picture = self.picture
         bins = []
-        self._capacity = 0.0
+        self._capacity = {True: 0.0, False: 0.0}
         heard = set(picture.machines())
         self._came_up |= heard
         self._came_up &= heard | set(picture.mirror.fleet)
@@ -172,7 +171,7 @@
                 # What services hold serves no other work.
                 held = (job.spec for job, _, _ in picture.mirror.attempts_on(machine))
                 services = sum(spec.cpus for spec in held if spec.kind == SERVICE)
-                self._capacity += picture.mirror.types[room.type].cpus - services
+                self._capacity[room.spot] += picture.mirror.types[room.type].cpus - services
                 if machine not in without:
                     bins.append(self._bin(room))
         for machine, record in picture.mirror.fleet.items():
@@ -181,7 +180,7 @@
                 continue
             # A boot that takes long is no longer counted on.
             if wall - record.since <= 2.5 * kind.boot_s:
-                self._capacity += kind.cpus
+                self._capacity[record.spot] += kind.cpus
                 bins.append(_Bin(kind, record.zone, record.spot))
         bins.sort(key=lambda b: (not b.offer[2], b.cpus))
         return bins
@@ -236,24 +235,70 @@
             return 10 * self._lease_s
         return next((limit for limit in late if limit >= up_s), late[-1])
 
-    def _pressing(
-        self, spec: JobSpec, priority: int, eta_s: float, allowance: float
-    ) -> bool | None:
-        """Whether to rent for work that would start so late: None no, False spot only.
+    def _worth(
+        self, job: Job, missing: int, backlog: float, age_s: float, patient: bool
+    ) -> list[_Lack]:
+        """What to rent for waiting tasks of a job, behind a backlog in core seconds.
 
-        Machines already there come free in time for work that can wait; the cheaper kind is
-        rented early and the dearer one only when the aim itself is in danger.
+        A machine rented now is of use only after its boot; until then, or until the job must
+        start, the machines that are there eat the backlog.  Only what they leave is worth an
+        ordinary machine; spot machines are rented early.
         """
-        if spec.kind == SERVICE or spec.priority >= PRODUCTION:
-            return True
-        boots = [t.boot_s for t in self.picture.mirror.types.values() if t.fits(spec)]
-        # As late as two boots before most of the time is over; but work with little time
-        # to spare cannot wait for that.
-        latest = _PRESSING_ANY * allowance - 2 * min(boots, default=0.0)
-        if eta_s > max(_PRESSING_SOON * allowance, latest):
-            return True
+        picture, spec = self.picture, job.spec
+        priority = picture.outlook(job).priority
+        if spec.kind == SERVICE or priority >= PRODUCTION:
+            return [_Lack(spec, True, missing)]
+        boot_s, allowance = picture.boot_s(spec), self._allowance_s(job, age_s)
+        capacity = self._capacity[True] if spec.spot else 0.0
+        if not patient:
+            capacity += self._capacity[False]
+        horizon = max(boot_s, allowance - age_s - boot_s)
+        left = backlog - capacity * horizon
+        lacks = []
+        if left > 0:
+            span_s = max(horizon - boot_s, spec.estimate_s or self._lease_s)
+            more = min(missing, math.ceil(left / span_s / spec.cpus))
+            lacks.append(_Lack(spec, True, more))
+            missing -= more
+        eta_s = age_s + backlog / max(capacity, spec.cpus)
         early = priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
-        return False if spec.spot and early else None
+        if spec.spot and early and missing:
+            lacks.append(_Lack(spec, False, missing))
+        return lacks
+
+    def _note_demand(self, waiting: dict[bool, float]) -> None:
+        """Remember how many cores are in use or asked for now, but for services."""
+        picture = self.picture
+        cores = dict(waiting)
+        for job in picture.mirror.jobs.values():
+            if job.spec.kind != SERVICE and job.live:
+                cores[picture.patient(job)] += len(job.live) * job.spec.cpus
+        self._demand.append((picture.now, cores[False], cores[False] + cores[True]))
+        span_s = _DEMAND_LEASES * self._lease_s
+        while self._demand[0][0] < picture.now - span_s:
+            self._demand.popleft()
+
+    def _usual(self, patient: bool) -> float:
+        """How many cores are in use or asked for most of the time, of late."""
+        seen = sorted(sample[1 + patient] for sample in self._demand)
+        return seen[int(len(seen) * _DEMAND_SHARE)] if seen else 0.0
+
+    def _short(self) -> list[_Lack]:
+        """Cores that the fleet is short of, beside what waits just now.
+
+        What waits is started when others end, or too late for a machine that must boot
+        first.  A fleet that is as large as what is usually asked for lets it start at once.
+        """
+        specs = [recent[-1][1] for recent in self._sizes.values() if recent[-1][1].spot]
+        if not specs:
+            return []
+        spec = max(specs, key=lambda spec: spec.cpus * spec.tasks)
+        whole = self._capacity[True] + self._capacity[False]
+        number = int((self._usual(False) - whole) / spec.cpus)
+        if number > 0:
+            return [_Lack(spec, True, number)]
+        number = int((self._usual(True) - whole) / spec.cpus)
+        return [_Lack(spec, False, number)] if number > 0 else []
 
     def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int]]:
         """Room lacking for classes that must start before a machine could boot."""
@@ -493,8 +538,18 @@
         kept.sort(key=lambda item: (not item[1].offer[2], item[1].cpus, item[0]))
         self._spares([*self._bins(wall, set(idle)), *(found for _, found in kept)])
         whole = picture.mirror.types
-        free = [machine for machine, found in kept if found.cpus == whole[found.offer[0]].cpus]
-        return free[::-1][: max(1, len(picture.mirror.fleet) // 10)]
+        free = [
+            (machine, found) for machine, found in kept if found.cpus == whole[found.offer[0]].cpus
+        ]
+        # As large as what is usually asked for it stays; the dearer kind only for what cannot
+        # wait for the other.
+        cores = self._capacity[True] + self._capacity[False]
+        chosen: list[str] = []
+        for machine, found in free[::-1][: max(1, len(picture.mirror.fleet) // 10)]:
+            if cores - found.cpus >= self._usual(found.offer[2]):
+                cores -= found.cpus
+                chosen.append(machine)
+        return chosen
 
     def _bin(self, room: Room) -> _Bin:
         found = _Bin(self.picture.mirror.types[room.type], room.zone, room.spot)
