--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -7,8 +7,8 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
-from itertools import islice
+from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby, islice
 from random import Random
 
 import msgspec
@@ -71,18 +71,20 @@
         able: dict[tuple[object, ...], dict[str, Room]] = {}
         left = max(0, _FULL_COMMITS * self.limits.txn_ops)
         left -= len(pending)
-        for job in jobs:
+        for job, at_hand in _rounds(jobs, picture):
             if left <= 0:
                 break  # more than can be committed soon would only grow stale
             like = _likeness(job.spec, picture.patient(job))
             if like in able and not able[like]:
                 continue
-            found = self._place(job, rooms, able, pending.get(job.id, []), spent)
+            known = pending.setdefault(job.id, [])
+            found = self._place(job, rooms, able, known, spent, at_hand)
             if job.id in mine:
-                left -= bool(found)
+                left -= bool(found and not known)
                 for intent in found:
                     picture.gate.admit(intent, picture)
                 admitted += found
+            known += found
         return admitted
 
     def most_live(self, spec: JobSpec) -> int:
@@ -96,8 +98,9 @@
         able: dict[tuple[object, ...], dict[str, Room]],
         waiting: list[Intent],
         spent: dict[str, tuple[float, float]],
+        at_hand: bool,
     ) -> list[Intent]:
-        """Places for waiting tasks of a job."""
+        """Places for waiting tasks of a job, only where its image is at hand if so asked."""
         picture, spec = self.picture, job.spec
         taken = {intent.placement.task for intent in waiting}
         if spec.kind == GANG and (job.live or taken):
@@ -129,6 +132,10 @@
             if known is None
             else {m: rooms[m] for m in known if holds(rooms[m], spec)}
         )
+        if at_hand:
+            like_rooms = {
+                m: room for m, room in like_rooms.items() if picture.fetch_s(spec, room) <= 0
+            }
         in_time = self.in_time(job)
         if in_time is not None:
             like_rooms = {m: room for m, room in like_rooms.items() if in_time(room)}
@@ -235,6 +242,19 @@
         return cost
 
 
+def _rounds(jobs: list[Job], picture: Picture) -> Iterator[tuple[Job, bool]]:
+    """The order in which jobs get room, and whether only where their image is at hand.
+
+    Among jobs of one priority, whoever has its image somewhere goes there first: a place
+    serves twice as many short tasks when it need not fetch an image for each.
+    """
+    for _, group in groupby(jobs, lambda job: picture.outlook(job).priority):
+        alike = list(group)
+        if len({job.spec.image for job in alike}) > 1:
+            yield from ((job, True) for job in alike if job.spec.kind != GANG)
+        yield from ((job, False) for job in alike)
+
+
 def _likeness(spec: JobSpec, patient: bool) -> tuple[object, ...]:
     """What decides which machines have room for a task."""
     return spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot, patient
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -310,12 +310,15 @@
         c = self._c
         job = c.mirror.jobs.get(job_id)
         if job is not None:
+            waits = [c.picture.fetch_wait_s(i.spec, i.placement) for i in released]
             log.info(
-                "starts of %s (%s): %d tasks after %.1f s, images in %.1f s, under revision %d",
+                "starts of %s (%s): %d tasks after %.1f s, images in %.1f s, %d at hand, "
+                "under revision %d",
                 job_id,
                 job.spec.cls,
                 len(released),
                 c.wall() - c.picture.since(job),
-                max(c.picture.fetch_wait_s(i.spec, i.placement) for i in released),
+                max(waits),
+                sum(wait <= 0 for wait in waits),
                 c.mirror.version(JOB + job_id),
             )
