--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -270,7 +270,8 @@
         if 0 not in parts:
             self.nodes.pop(node, None)
             return
-        number = int(parts[0].get("p", 1))
+        number = parts[0].get("p", 1)
+        number = number if isinstance(number, int) else 1
         # Parts arrive one after the other; until the last the former summary stands.
         if all(i in parts for i in range(number)):
             summary = unpack_summary([parts[i] for i in range(number)])
--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -81,6 +81,15 @@
                 return name
         return self._c.node
 
+    def older(self) -> set[str]:
+        """The controllers that beat and know only the plain form."""
+        now = anyio.current_time()
+        return {
+            name
+            for name, link in self.links.items()
+            if link.form == PLAIN and now - link.heard_at < 3 * self._c.beat_s
+        }
+
     def beat(self) -> mesh.Beat:
         self._share_writes()
         return mesh.Beat(
--- a/src/sandladder/records.py
+++ b/src/sandladder/records.py
@@ -50,12 +50,17 @@
     """The mark of the records' form.
 
     A controller of the version before takes it for a job.  It cannot read the time, says so
-    with its text, and stands still: it would do harm with records that it half understands.
+    with its text, and does not get past it: it would do harm with records that it half
+    understands.  As it passes over a key that it failed on once, the mark is written again
+    while such a controller is heard (`upgrade.Upgrade`), and summaries stop it as well.
     This can go once no store is left that such a version may meet.
     """
     spec = ["form", "", "", ARRAY, 0, 1, 1.0, 0.0, 0.0, "", 0.0]
     spec += [None, None, False, False, False, 0.0, 0.0, 0.0, None]
-    return {"s": spec, "t": "these records need sandladder 0.2 or later", "n": 1, "form": form}
+    return {"s": spec, "t": _STOP, "n": 1, "form": form}
+
+
+_STOP = "these records need sandladder 0.2 or later"
 
 
 def read_form(value: Any) -> int:
@@ -67,7 +72,7 @@
 
 # Folding: a value that is too long for the store becomes several that are not.
 
-_FOLDED, _PARTS, _STAMP, _BASE = "~", "p", "r", "b"
+_FOLDED, _PARTS, _STAMP, _BASE = "~", "of", "r", "b"
 _UNFOLDED_MOST = 4 << 20
 
 
@@ -318,7 +323,9 @@
     for images in (0, 1, 2, 4):
         head = _Head([], [], [], {}, *summary[:3], 1, summary.form)
         _pack(head, machines, images)
-        values = fold(msgspec.to_builtins(head, str_keys=True), value_bytes)
+        values = fold(msgspec.to_builtins(head, str_keys=True), value_bytes - len(_STOP))
+        # The version before reads the number of parts here, and ends its reading.
+        values[0]["p"] = _STOP
         if best and len(values) > len(best):
             break
         best = values
@@ -327,6 +334,8 @@
 
 def unpack_summary(values: list[dict[str, Any]]) -> Summary | None:
     """A summary from its values, or None when they are not of one writing."""
+    if isinstance(values[0].get("p"), str):
+        values = [values[0] | {"p": 1}]
     head = msgspec.convert(values[0], _Head, strict=False)
     if head.parts != len(values):
         return None
--- a/src/sandladder/upgrade.py
+++ b/src/sandladder/upgrade.py
@@ -4,6 +4,7 @@
 left that the version before wrote.
 """
 
+import contextlib
 import logging
 from collections.abc import Callable
 from functools import partial
@@ -12,9 +13,21 @@
 import anyio
 import msgspec
 
+from sandladder import wire
 from sandladder.lifecycle import Refused, View, mark_form, raise_form, rewrite
-from sandladder.records import FLEET, FORM, JOB, PLAIN, fleet_value, job_value
-from sandladder.store import P_IDLE, P_USER, Change
+from sandladder.records import (
+    FLEET,
+    FORM,
+    FORM_KEY,
+    JOB,
+    MARKS,
+    NODE,
+    PLAIN,
+    fleet_value,
+    form_value,
+    job_value,
+)
+from sandladder.store import P_IDLE, P_USER, Change, Rejected, StateClient
 
 if TYPE_CHECKING:
     from sandladder.control import Controller
@@ -43,8 +56,28 @@
                 log.debug("the records stay in the plain form: %s", refusal)
         if raised_here:
             log.info("the records are of the form %d now", c.mirror.form)
-        await self._shorten()
-        await anyio.sleep_forever()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._shorten)
+            tasks.start_soon(self._bar)
+
+    async def _bar(self) -> None:
+        """Keep a controller of the version before from reading these records.
+
+        It half understands them.  It tries again and again, and passes over what it failed on
+        before unless that is written anew.
+        """
+        c = self._c
+        barred: set[str] = set()
+        while True:
+            await anyio.sleep(c.report_s / 5)
+            old = c.peers.older()
+            if old - barred:
+                log.error("%s run a version that does not know these records", sorted(old))
+            barred = old
+            # One of those that hear it is enough.
+            if old and c.hold.alive() and c.node == min(set(c.peers.live_nodes()) - old):
+                with contextlib.suppress(Refused):
+                    await self._commit("form", again)
 
     async def _step(self) -> None:
         mirror, node = self._c.mirror, self._c.node
@@ -86,5 +119,31 @@
                 log.debug("%s stays as it is: %s", key, refusal)
 
 
+def again(view: View) -> bool:
+    """Write the mark of the form anew."""
+    view.put(FORM_KEY, form_value(FORM), view.mirror.version(FORM_KEY))
+    return True
+
+
 def _length(value: object) -> int:
     return len(msgspec.json.encode(value))
+
+
+async def retire(state: StateClient, node: str) -> str | None:
+    """Say for a controller that never comes back that it does not bar the second form.
+
+    None when that is written; otherwise why it is not.  It must not live: its summary, which
+    goes with its hold, is bound to be absent.
+    """
+    if await state.get(NODE + node) is not None:
+        return f"{node} lives: it says itself what it understands"
+    found = await state.get(MARKS)
+    marks, version = found or ({}, 0)
+    body = wire.commit_body(
+        [(NODE + node, 0), (MARKS, version)], [(MARKS, {**marks, node: FORM}, None)], []
+    )
+    try:
+        await state.commit(body, 1)
+    except Rejected as rejection:
+        return f"something changed meanwhile ({rejection}): try again"
+    return None
