--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -165,7 +165,7 @@
     def _synced(self, sent: float) -> None:
         self.loss.synced(sent, self.mirror.revision)
 
-    def _changed(self, keys: set[str]) -> None:
+    def _changed(self, keys: dict[str, None]) -> None:
         """The records changed: check the premises that this reaches, and deliver."""
         now = self.picture.now = anyio.current_time()
         if any(key.startswith(NODE) for key in keys):
@@ -174,8 +174,8 @@
         if TYPES in keys:
             self.picture.recount()
         resources: list[Resource] = []
-        touched, self.mirror.touched = self.mirror.touched, set()
-        begun, self.mirror.begun = self.mirror.begun, set()
+        touched, self.mirror.touched = self.mirror.touched, {}
+        begun, self.mirror.begun = self.mirror.begun, {}
         for machine in touched:
             self.picture.touch(machine)
             resources.append(("machine", machine))
--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -67,7 +67,9 @@
         self.renter: str | None = None
         self.term = 0
         self.types: dict[str, MachineType] = {}
-        self.on_machine: dict[str, set[tuple[str, int]]] = {}
+        # Where order may matter sets are kept as dictionaries: the order of a set hangs on the
+        # process, and with it what a controller does next.
+        self.on_machine: dict[str, dict[tuple[str, int], None]] = {}
         self.versions: dict[str, int] = {}
         self.finals: OrderedDict[str, Final] = OrderedDict()
         self.unfiled: dict[str, Final] = {}  # finished jobs whose record is in the job's place
@@ -75,61 +77,61 @@
         self.unreadable: set[str] = set()
         # Machines whose committed starts changed, and tasks that were started or done, since
         # somebody last asked.
-        self.touched: set[str] = set()
-        self.begun: set[tuple[str, int]] = set()
+        self.touched: dict[str, None] = {}
+        self.begun: dict[tuple[str, int], None] = {}
         self._parts: dict[str, dict[int, Any]] = {}  # values of the nodes' summaries
         # The parts of folded records, as (value, version), and which of these to read again.
         self._heads: dict[str, tuple[Any, int]] = {}
         self._extras: dict[str, dict[int, tuple[Any, int]]] = {}
-        self._refold: set[str] = set()
+        self._refold: dict[str, None] = {}
         # Keys that our own commits moved past `revision`: older news of them is ignored.
         self._ahead: dict[str, int] = {}
 
     def version(self, key: str) -> int:
         return self.versions.get(key, 0)
 
-    def reset(self, revision: int, items: list[tuple[str, Any, int]]) -> set[str]:
+    def reset(self, revision: int, items: list[tuple[str, Any, int]]) -> dict[str, None]:
         """Replace everything by a full reading; the keys whose records may have changed."""
-        changed = set()
+        changed: dict[str, None] = {}
         present = {key for key, _, _ in items}
         for key in [k for k in self.versions if k not in present]:
             if self._ahead.get(key, 0) <= revision:
                 self._set(key, None, 0)
-                changed.add(key)
+                changed[key] = None
         for key, value, version in items:
             if version > self._ahead.get(key, 0) and version != self.version(key):
                 self._set(key, value, version)
-                changed.add(key)
+                changed[key] = None
         # Read page by page: what does not fit together is put right by the changes that
         # follow, before anyone acts on it.
         changed |= self._unfold()
         self._advance(max(revision, self.revision))
         return changed
 
-    def apply(self, revision: int, events: list[tuple[str, Any, int]]) -> set[str]:
+    def apply(self, revision: int, events: list[tuple[str, Any, int]]) -> dict[str, None]:
         """Apply watched changes that reach `revision`; the keys that changed."""
-        changed = set()
+        changed: dict[str, None] = {}
         for key, value, version in events:
             if version <= self.revision or version <= self._ahead.get(key, 0):
                 continue
             self._set(key, value, 0 if value is None else version)
-            changed.add(key)
+            changed[key] = None
         changed |= self._unfold()
-        for key in self._refold - self.unreadable:
+        for key in [key for key in self._refold if key not in self.unreadable]:
             self._cannot_read(key, "its parts are not of one writing")
         self._advance(max(revision, self.revision))
         return changed
 
-    def wrote(self, revision: int, changes: list[tuple[str, Any]]) -> set[str]:
+    def wrote(self, revision: int, changes: list[tuple[str, Any]]) -> dict[str, None]:
         """Apply a commit of our own."""
-        changed = set()
+        changed: dict[str, None] = {}
         for key, value in changes:
             if revision <= max(self.version(key), self._ahead.get(key, 0)):
                 continue
             if revision > self.revision:
                 self._ahead[key] = revision
             self._set(key, value, 0 if value is None else revision)
-            changed.add(key)
+            changed[key] = None
         return changed | self._unfold()
 
     def _advance(self, revision: int) -> None:
@@ -154,10 +156,10 @@
             self._set_extra(key, value, version)
         elif is_folded(value):
             self._heads[key] = value, version
-            self._refold.add(key)
+            self._refold[key] = None
         else:
             self._heads.pop(key, None)
-            self._refold.discard(key)
+            self._refold.pop(key, None)
             self._take(key, value)
 
     def _set_extra(self, key: str, value: Any, version: int) -> None:
@@ -170,15 +172,15 @@
         else:
             extras[index] = value, version
         if name in self._heads:
-            self._refold.add(name)
+            self._refold[name] = None
 
     def extras(self, key: str) -> list[str]:
         """The keys of a record's further parts, as they stand."""
         return [extra_key(key, index) for index in self._extras.get(key, ())]
 
-    def _unfold(self) -> set[str]:
+    def _unfold(self) -> dict[str, None]:
         """Read the folded records whose parts changed; those that are whole."""
-        found = set()
+        found: dict[str, None] = {}
         for key in list(self._refold):
             try:
                 value = unfold(self._heads[key], self._extras.get(key, {}))
@@ -186,9 +188,9 @@
                 self._cannot_read(key, repr(error))
                 continue
             if value is not None:
-                self._refold.discard(key)
+                self._refold.pop(key, None)
                 self._take(key, value)
-                found.add(key)
+                found[key] = None
         return found
 
     def _take(self, key: str, value: Any) -> None:
@@ -302,22 +304,22 @@
             self.jobs[job_id] = job
             after = job.live
             if old is not None and job.cancelled != old.cancelled:
-                self.touched.update(attempt.machine for attempt in after.values())
+                self.touched |= {attempt.machine: None for attempt in after.values()}
         self._index(job_id, old, job)
         for task, attempt in before.items():
             if after.get(task) == attempt:
                 continue
-            self.touched.add(attempt.machine)
+            self.touched[attempt.machine] = None
             tasks = self.on_machine[attempt.machine]
-            tasks.discard((job_id, task))
+            tasks.pop((job_id, task), None)
             if not tasks:
                 del self.on_machine[attempt.machine]
         for task, attempt in after.items():
             if before.get(task) == attempt:
                 continue
-            self.touched.add(attempt.machine)
-            self.begun.add((job_id, task))
-            self.on_machine.setdefault(attempt.machine, set()).add((job_id, task))
+            self.touched[attempt.machine] = None
+            self.begun[job_id, task] = None
+            self.on_machine.setdefault(attempt.machine, {})[job_id, task] = None
 
     def _index(self, job_id: str, old: Job | None, new: Job | None) -> None:
         """Keep up what follows from the live jobs together."""
--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -113,8 +113,9 @@
         self._c.state.writes.share = own / whole
 
     def poke(self, nodes: set[str]) -> None:
-        for name in nodes & self.links.keys():
-            self.links[name].send(mesh.Poke(self._c.mirror.revision))
+        for name, link in self.links.items():
+            if name in nodes:
+                link.send(mesh.Poke(self._c.mirror.revision))
 
     def hear(self, message: mesh.Message) -> None:
         if isinstance(message, mesh.Beat):
--- a/src/sandladder/pipelines.py
+++ b/src/sandladder/pipelines.py
@@ -40,7 +40,7 @@
         self._needed_by: dict[str, dict[str, None]] = {}  # by the job named, those that name it
         self._awaits: dict[str, tuple[str, ...]] = {}
         self._settled: dict[str, Final] = {}  # only of jobs that live ones name
-        self._doomed: set[str] = set()
+        self._doomed: dict[str, None] = {}
         self._outlooks: dict[str, Outlook] = {}
 
     # Changes
@@ -55,7 +55,7 @@
             self._outlooks.clear()
         if new is None:
             # It is over, or will be read again: its fate is not ours to keep.
-            self._doomed.discard(job_id)
+            self._doomed.pop(job_id, None)
             return
         if after and job_id not in self._doomed and any(self._condemns(name) for name in after):
             self._doom(job_id)
@@ -95,7 +95,7 @@
         return settled is not None and settled.state == CANCELLED
 
     def _doom(self, job_id: str) -> None:
-        self._doomed.add(job_id)
+        self._doomed[job_id] = None
         self._outlooks.clear()
         self._doom_needers(job_id)
 
@@ -105,7 +105,7 @@
         while stack:
             for needer in self._needed_by.get(stack.pop(), ()):
                 if needer not in self._doomed:
-                    self._doomed.add(needer)
+                    self._doomed[needer] = None
                     self._outlooks.clear()
                     stack.append(needer)
 
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -96,7 +96,7 @@
         self._wasteful_since: dict[str, float] = {}
         # Cores of all machines that can be counted on, spot or not, but for services.
         self._capacity = {True: 0.0, False: 0.0}
-        self._came_up: set[str] = set()  # machines that have reported
+        self._came_up: dict[str, None] = {}  # machines that have reported
         # When, and how many cores were in use or asked for: by what cannot wait, and by all.
         self._demand: deque[tuple[float, float, float]] = deque()
         # Classes whose aim for the start is shorter than machines take to boot.
@@ -111,8 +111,10 @@
         """Remember what recent jobs of each class looked like, and how often they came."""
         jobs = self.picture.mirror.jobs
         now = self.picture.now
-        for job_id in jobs.keys() - self._known:
-            spec = jobs[job_id].spec
+        for job_id, job in jobs.items():
+            if job_id in self._known:
+                continue
+            spec = job.spec
             recent = self._sizes.setdefault(spec.cls, deque(maxlen=_REMEMBERED))
             recent.append((now, spec))
         self._known = set(jobs)
@@ -162,9 +164,10 @@
         picture = self.picture
         bins = []
         self._capacity = {True: 0.0, False: 0.0}
-        heard = set(picture.machines())
+        heard = dict.fromkeys(picture.machines())
         self._came_up |= heard
-        self._came_up &= heard | set(picture.mirror.fleet)
+        fleet = picture.mirror.fleet
+        self._came_up = {m: None for m in self._came_up if m in heard or m in fleet}
         for machine in heard:
             room = picture.room(machine)
             if room is not None and room.usable:
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -255,7 +255,7 @@
         state: StateClient,
         mirror: Mirror,
         nodes: int,
-        on_change: Callable[[set[str]], None],
+        on_change: Callable[[dict[str, None]], None],
         on_synced: Callable[[float], None],
     ) -> None:
         self._state = state
@@ -303,7 +303,7 @@
 
     async def _advance(self) -> None:
         found = await self._state.follow(self._mirror.revision) if self.loaded else None
-        read: set[str] = set()
+        read: dict[str, None] = {}
         if found is None:
             read = await self._load()
             found = await self._state.follow(self._mirror.revision)
@@ -316,7 +316,7 @@
         if changed:
             self._on_change(changed)
 
-    async def _load(self) -> set[str]:
+    async def _load(self) -> dict[str, None]:
         items: list[tuple[str, Any, int]] = []
         revisions = []
         for prefix in PREFIXES:
@@ -384,7 +384,7 @@
         mirror: Mirror,
         watch: Watch,
         rng: Random,
-        on_change: Callable[[set[str]], None],
+        on_change: Callable[[dict[str, None]], None],
         limits: Limits,
         trust_s: float,
         most_queued: int = 2048,
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -165,10 +165,10 @@
 
     def start(self, intents: Iterable[Intent]) -> None:
         """Have pending starts committed if they pass the gate by then."""
-        jobs = set()
+        jobs: dict[str, None] = {}
         for intent in intents:
             self._starts.setdefault(intent.spec.id, []).append(intent)
-            jobs.add(intent.spec.id)
+            jobs[intent.spec.id] = None
         for job_id in jobs:
             self._commit(job_id)
 
