Work is done where something changed: rooms, losses, moves and news in batches

Now a room is worked out again only when something of it changed, losses are looked for by sessions held, moves only on machines about to go, and plans, readings and hints of a moment go together.

--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -28,7 +28,7 @@
 from sandladder.picture import Picture
 from sandladder.placement import Planner
 from sandladder.premises import Gate, Outcome, Resource
-from sandladder.records import FINAL, JOB, NODE, TEAM, TYPES
+from sandladder.records import FINAL, FLEET, JOB, NODE, TEAM, TYPES
 from sandladder.settings import Settings, split_addr
 from sandladder.store import (
     P_WORK,
@@ -95,7 +95,9 @@
         self.state = StateClient(
             connect(host, port, keep=6), deployment.state, self.state_timeout_s
         )
-        self.watch = Watch(self.state, self.mirror, len(self.nodes), self._changed, self._synced)
+        self.watch = Watch(
+            self.state, self.mirror, len(self.nodes), self._changed, self._synced, self.report_s
+        )
         self.committer = Committer(
             self.state,
             self.mirror,
@@ -177,6 +179,8 @@
             self.picture.observe()
         if TYPES in keys:
             self.picture.recount()
+        elif any(key.startswith(FLEET) for key in keys):
+            self.picture.relist()
         resources: list[Resource] = []
         touched, self.mirror.touched = self.mirror.touched, {}
         begun, self.mirror.begun = self.mirror.begun, {}
@@ -222,15 +226,15 @@
                 continue
             began = self.picture.now = anyio.current_time()
             self.picture.ahead = self.wall() - began
-            admitted = self.planner.plan(self._owned(), self.work.barred)
-            self.work.start(admitted)
             owned = self._owned()
+            admitted = self.planner.plan(owned, self.work.barred)
+            self.work.start(admitted)
             for victim in self.evictor.preempt(owned, self.work.barred) + self.evictor.moves(owned):
                 self._commit_stop(victim)
             # Planning may take a quarter of our time; the more there is to do, the more
             # is done at once.
             took = anyio.current_time() - began
-            await anyio.sleep(max(self.report_s / 100, 3 * took))
+            await anyio.sleep(max(self.report_s / 32, 3 * took))
 
     def _commit_stop(self, victim: Victim) -> None:
         """Have a running task stopped so that more urgent work gets its room."""
--- a/src/sandladder/eviction.py
+++ b/src/sandladder/eviction.py
@@ -40,7 +40,8 @@
         boot_s = min(kind.boot_s for kind in picture.mirror.types.values())
         victims: list[Victim] = []
         chosen: set[tuple[str, int]] = set()
-        for job in sorted(owned, key=lambda j: (-j.spec.priority, j.submitted)):
+        waiting = (job for job in owned if job.spec.priority >= PRODUCTION and job.waiting)
+        for job in sorted(waiting, key=lambda j: (-j.spec.priority, j.submitted)):
             spec = job.spec
             within = self._planner.waits.get(spec.cls)
             # Where a machine boots in time for the aim, nothing is stopped.
@@ -74,11 +75,15 @@
         report_s = picture.settings.platform.deployment.workers.report_s
         rooms: dict[str, Room] | None = None
         found: list[Victim] = []
-        for job in owned:
-            spec = job.spec
-            if spec.kind != SERVICE or job.cancelled:
-                continue
-            for task, attempt in job.live.items():
+        leaving = picture.leaving_machines()
+        if not leaving:
+            return found
+        ours = {job.id for job in owned if job.spec.kind == SERVICE and not job.cancelled}
+        for machine in leaving:
+            for job, task, attempt in picture.mirror.attempts_on(machine):
+                spec = job.spec
+                if job.id not in ours:
+                    continue
                 key = (job.id, task)
                 if attempt.stop is not None or key in self._claims:
                     continue
--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -140,6 +140,8 @@
             data = b"".join(_frame(message) for message in messages)
             with anyio.fail_after(4 * self._beat_s):
                 await stream.send(data)
+            # What is said within a moment goes together, with one sign of life.
+            await anyio.sleep(self._beat_s / 12)
             await self._work.wait(self._beat_s)
 
 
--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -70,6 +70,8 @@
         # Where order may matter sets are kept as dictionaries: the order of a set hangs on the
         # process, and with it what a controller does next.
         self.on_machine: dict[str, dict[tuple[str, int], None]] = {}
+        # How many attempts each session of a machine holds.
+        self.sessions: dict[str, dict[int, int]] = {}
         self.versions: dict[str, int] = {}
         self.finals: OrderedDict[str, Final] = OrderedDict()
         self.unfiled: dict[str, Final] = {}  # finished jobs whose record is in the job's place
@@ -314,12 +316,22 @@
             tasks.pop((job_id, task), None)
             if not tasks:
                 del self.on_machine[attempt.machine]
+            self._count(attempt, -1)
         for task, attempt in after.items():
             if before.get(task) == attempt:
                 continue
             self.touched[attempt.machine] = None
             self.begun[job_id, task] = None
             self.on_machine.setdefault(attempt.machine, {})[job_id, task] = None
+            self._count(attempt, 1)
+
+    def _count(self, attempt: Attempt, number: int) -> None:
+        sessions = self.sessions.setdefault(attempt.machine, {})
+        sessions[attempt.session] = sessions.get(attempt.session, 0) + number
+        if not sessions[attempt.session]:
+            del sessions[attempt.session]
+            if not sessions:
+                del self.sessions[attempt.machine]
 
     def _index(self, job_id: str, old: Job | None, new: Job | None) -> None:
         """Keep up what follows from the live jobs together."""
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -5,6 +5,7 @@
 (see premises).  Pure: no I/O, no clock.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from sandladder.mirror import Mirror
 from sandladder.model import (
     ARRAY,
+    SERVICE,
     Attempt,
     Final,
     Job,
@@ -103,6 +105,9 @@
         self._told: dict[str, Summary] = {}  # the summaries that were taken in
         # What is left on machines, worked out again only where something changed.
         self._left: dict[str, tuple[float, float, float]] = {}
+        self._services: dict[str, float] = {}
+        # Rooms as last worked out, and until when they hold by themselves.
+        self._rooms: dict[str, tuple[Room, float]] = {}
         # Attempts that are surely over while their end is not committed yet: their room is free.
         self.over: dict[str, set[tuple[str, int, int]]] = {}
         workers = settings.platform.deployment.workers
@@ -148,6 +153,7 @@
             if not new.seen.images and new.seen.session == old.seen.session:
                 new = new._replace(seen=new.seen._replace(images=old.seen.images))
         self._sights[machine] = new
+        self._rooms.pop(machine, None)
 
     def sight(self, machine: str) -> Sight | None:
         """The freshest word on a machine."""
@@ -161,6 +167,9 @@
         return self._sights.keys()
 
     def room(self, machine: str) -> Room | None:
+        known = self._rooms.get(machine)
+        if known is not None and self.now <= known[1]:
+            return known[0]
         sight = self._sights.get(machine)
         if sight is None:
             return None
@@ -173,16 +182,22 @@
             left = self._left[machine] = self._count(machine, kind)
         late = self.fresh_s if sight.clerk == self.settings.node else self.late_s
         listed = self.mirror.fleet.get(machine)
-        usable = (
-            self.now - sight.at <= late
-            and seen.notice_s is None
+        sound = (
+            seen.notice_s is None
             and seen.errors < SICK_ERRORS
-            and self._doubts.get(machine, 0.0) <= self.now
             and (listed is None or listed.state not in ("draining", "gone"))
         )
-        return Room(
+        # What makes it usable or not by the passing of time alone.
+        doubted, stale = self._doubts.get(machine, -math.inf), sight.at + late
+        usable = sound and doubted <= self.now <= stale
+        until = math.inf
+        if sound and self.now <= stale:
+            until = stale if usable else min(stale, doubted)
+        room = Room(
             machine, seen.type, seen.zone, seen.spot, seen.session, sight.clerk, *left, usable
         )
+        self._rooms[machine] = room, until
+        return room
 
     def _count(self, machine: str, kind: MachineType) -> tuple[float, float, float]:
         """What is left there next to committed and pending starts."""
@@ -202,10 +217,16 @@
 
     def _moved(self, machine: str) -> None:
         self._left.pop(machine, None)
+        self._rooms.pop(machine, None)
 
     def recount(self) -> None:
         """What machines can hold may have changed."""
         self._left.clear()
+        self._rooms.clear()
+
+    def relist(self) -> None:
+        """The fleet records changed."""
+        self._rooms.clear()
 
     def note_over(self, item: Ended) -> None:
         """An attempt is surely over: what it held can be given away before that is committed."""
@@ -221,24 +242,49 @@
         Seen in a measured day: the same machine was chosen again a dozen times.
         """
         self._doubts[machine] = self.now + for_s
+        self._rooms.pop(machine, None)
+
+    def services(self, machine: str) -> float:
+        """How many cores of it services hold."""
+        held = self._services.get(machine)
+        if held is None:
+            specs = (job.spec for job, _, _ in self.mirror.attempts_on(machine))
+            held = sum(spec.cpus for spec in specs if spec.kind == SERVICE)
+            self._services[machine] = held
+        return held
 
     def freed(self, machine: str) -> bool:
         """Whether nothing runs there any more, committed or not."""
-        over = self.over.get(machine, ())
-        return all(
+        if machine not in self.mirror.on_machine:
+            return True
+        over = self.over.get(machine, set())
+        return bool(over) and all(
             (job.id, task, attempt.attempt) in over
             for job, task, attempt in self.mirror.attempts_on(machine)
         )
 
-    def usable_rooms(self) -> dict[str, Room]:
-        """All machines that can be given work."""
+    def usable_rooms(self, least_cpus: float = 0.0) -> dict[str, Room]:
+        """All machines that can be given work, with so much room at least."""
         rooms = {}
+        now, cached = self.now, self._rooms
+        least_cpus -= 1e-6
         for machine in self._sights:
-            room = self.room(machine)
-            if room is not None and room.usable:
+            known = cached.get(machine)
+            room = known[0] if known is not None and now <= known[1] else self.room(machine)
+            if room is not None and room.usable and room.cpus >= least_cpus:
                 rooms[machine] = room
         return rooms
 
+    def leaving_machines(self) -> list[str]:
+        """The machines that are about to go, as far as they are known."""
+        fleet = self.mirror.fleet
+        draining = {m for m, record in fleet.items() if record.state == "draining"}
+        return [
+            machine
+            for machine, sight in self._sights.items()
+            if sight.seen.notice_s is not None or machine in draining
+        ]
+
     def leaving(self, machine: str) -> str:
         """Why a machine is about to go, or an empty text."""
         listed = self.mirror.fleet.get(machine)
@@ -272,6 +318,8 @@
         """Something about this machine changed."""
         self._touched[machine] = self._touched.get(machine, 0) + 1
         self._left.pop(machine, None)
+        self._services.pop(machine, None)
+        self._rooms.pop(machine, None)
 
     def note_start(self, spec: JobSpec, attempt: Attempt) -> None:
         """Learn from a committed start which image its machine has or fetches."""
@@ -346,10 +394,12 @@
         longest = 4 * self.settings.platform.deployment.workers.lease_s
         for machine in [m for m, s in self._sights.items() if self.now - s.at > longest]:
             del self._sights[machine]
+            self._rooms.pop(machine, None)
         known = self._sights.keys() | self.mirror.fleet.keys() | self.mirror.on_machine.keys()
         self.images.keep(known)
         self._touched = {m: v for m, v in self._touched.items() if m in known}
         self._left = {m: v for m, v in self._left.items() if m in known}
+        self._services = {m: v for m, v in self._services.items() if m in known}
         self._doubts = {m: t for m, t in self._doubts.items() if t > self.now}
         for machine in list(self.over):
             held = {(j.id, task, a.attempt) for j, task, a in self.mirror.attempts_on(machine)}
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -59,7 +59,7 @@
             or (job.waiting > 0 and picture.outlook(job).priority >= HIGH and ready(job))
         ]
         jobs.sort(key=picture.order_key)
-        rooms = picture.usable_rooms()
+        rooms = picture.usable_rooms(min(job.spec.cpus for job in jobs))
         pending: dict[str, list[Intent]] = {}
         spent: dict[str, tuple[float, float]] = {}
         for intent in picture.gate.pending.values():
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -172,9 +172,8 @@
             room = picture.room(machine)
             if room is not None and room.usable:
                 # What services hold serves no other work.
-                held = (job.spec for job, _, _ in picture.mirror.attempts_on(machine))
-                services = sum(spec.cpus for spec in held if spec.kind == SERVICE)
-                self._capacity[room.spot] += picture.mirror.types[room.type].cpus - services
+                cpus = picture.mirror.types[room.type].cpus
+                self._capacity[room.spot] += cpus - picture.services(machine)
                 if machine not in without:
                     bins.append(self._bin(room))
         for machine, record in picture.mirror.fleet.items():
@@ -468,13 +467,13 @@
         seen = set()
         for machine, room in picture.usable_rooms().items():
             kind = picture.mirror.types[room.type]
+            if not picture.services(machine) or kind.cpus - room.cpus > _WASTEFUL_USE * kind.cpus:
+                continue
             services = [
                 job.spec
                 for job, _, _ in picture.mirror.attempts_on(machine)
                 if job.spec.kind == SERVICE
             ]
-            if not services or kind.cpus - room.cpus > _WASTEFUL_USE * kind.cpus:
-                continue
             price = kind.spot_price if room.spot else kind.price
             cost = sum(self._lowest_price(spec) for spec in services)
             if price < _WASTEFUL_PRICE * cost:
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -257,15 +257,17 @@
         nodes: int,
         on_change: Callable[[dict[str, None]], None],
         on_synced: Callable[[float], None],
+        report_s: float,
     ) -> None:
         self._state = state
         self._mirror = mirror
         self._on_change = on_change
         self._on_synced = on_synced
         share = state.limits.rps / nodes
-        # On demand readings may take half of our share, idle ones a sixth.
-        self._spacing_s = 1 / (0.5 * share)
-        self._idle_s = 6 / share
+        # On demand readings may take half of our share, idle ones a sixth, and no more than
+        # a person would notice: each costs us as much as a worker's report.
+        self._spacing_s = max(1 / (0.5 * share), report_s / 50)
+        self._idle_s = max(6 / share, report_s / 16)
         self._demand = Signal()
         self._waiting: list[anyio.Event] = []
         self.loaded = False
--- a/src/sandladder/workers.py
+++ b/src/sandladder/workers.py
@@ -27,6 +27,10 @@
     return dialogue.session, dialogue.notice_at is None, len(dialogue.failed)
 
 
+# What events may have missed is looked for at this part of the machines each time.
+_TURNS = 6
+
+
 class Workers:
     """Talks with the machines that report to this controller."""
 
@@ -155,18 +159,22 @@
 
     async def sweep(self) -> None:
         """Look again, at a slow pace, for what events may have missed."""
+        turn = 0
         while True:
             await anyio.sleep(self._c.report_s / 6)
             now = self._c.picture.now = anyio.current_time()
             if not self._c.watch.loaded:
                 continue
-            for dialogue in list(self._c.delivery.machines.values()):
-                self._c.work.collect(self._c.delivery.ends(dialogue, self._c.mirror))
+            turn = (turn + 1) % _TURNS
+            for number, dialogue in enumerate(list(self._c.delivery.machines.values())):
+                if number % _TURNS == turn:
+                    self._c.work.collect(self._c.delivery.ends(dialogue, self._c.mirror))
                 if dialogue.tainted == self._c.delivery.term and dialogue.obeys:
                     await self._c.hold.rise_above(self._c.delivery.term + 1)
             self._c.work.collect(self._losses(now))
-            self._c.delivery.forget_silent(now, 4 * self._c.lease_s)
-            self._c.picture.forget()
+            if not turn:
+                self._c.delivery.forget_silent(now, 4 * self._c.lease_s)
+                self._c.picture.forget()
             for machine in [m for m in self._clients if m not in self._c.delivery.machines]:
                 await self._clients.pop(machine)[1].aclose()
             self._c.work.sweep()
@@ -178,22 +186,23 @@
         """Attempts on machines that are gone, or whose lease has surely run out."""
         c = self._c
         found = []
-        on_machine = {m: list(c.mirror.attempts_on(m)) for m in c.mirror.on_machine}
-        c.loss.holds({(m, a.session) for m, held in on_machine.items() for _, _, a in held}, now)
-        for machine, attempts in on_machine.items():
-            sessions = {attempt.session for _, _, attempt in attempts}
+        held = c.mirror.sessions
+        c.loss.holds([(m, session) for m, sessions in held.items() for session in sessions], now)
+        for machine, sessions in held.items():
             listed = c.mirror.fleet.get(machine)
             sight = c.picture.sight(machine)
             if listed is not None and listed.state == "gone":
-                over = sessions
+                over = set(sessions)
             elif sight is not None and c.picture.age_s(sight) < c.lease_s:
                 # A later session ends what an earlier one ran.
                 over = {session for session in sessions if session < sight.seen.session}
             else:
                 over = {s for s in sessions if c.loss.lost(machine, s, now)}
+            if not over:
+                continue
             found += [
                 Ended(job.id, task, attempt, "lost")
-                for job, task, attempt in attempts
+                for job, task, attempt in c.mirror.attempts_on(machine)
                 if attempt.session in over
             ]
         return found
--- a/tools/search.py
+++ b/tools/search.py
@@ -48,8 +48,8 @@
             if text is not None:
                 failed += 1
                 command = DAYS[kind].format(seed=seed, trouble=trouble)
-                print(f"{kind} {trouble}: {text}\n    PYTHONHASHSEED={seed} "
-                      f"PYTHONPATH=src:tests {sys.executable} -c '{command}'", flush=True)  # fmt: skip
+                repeat = f"PYTHONHASHSEED={seed} PYTHONPATH=src:tests python -c '{command}'"
+                print(f"{kind} {trouble}: {text}\n    {repeat}", flush=True)
     print(f"{len(days)} days played, {failed} failed")
     return 1 if failed else 0
 
