--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -11,7 +11,6 @@
 import anyio
 import msgspec
 from anyio.abc import SocketStream
-from anyio.streams.buffered import BufferedByteReceiveStream
 
 from sandladder.model import Seen
 from sandladder.records import PLAIN
@@ -165,7 +164,6 @@
             OSError,
             TimeoutError,
             anyio.EndOfStream,
-            anyio.IncompleteRead,
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ):
@@ -185,17 +183,32 @@
 async def _receive_all(
     stream: SocketStream, silent_s: float, receive: Callable[[Message], None]
 ) -> None:
-    buffered = BufferedByteReceiveStream(stream)
+    buffer = bytearray()
+    heard = anyio.current_time()
     while True:
-        with anyio.fail_after(silent_s):
-            size = int.from_bytes(await buffered.receive_exactly(4), "big")
-            if not 0 < size <= _FRAME_LIMIT:
-                raise ValueError(f"a frame of {size} bytes")
-            body = await buffered.receive_exactly(size)
-        try:
-            message = _decoder.decode(body)
-        except msgspec.DecodeError as error:
-            # A later version may say things that we do not know; its other words count.
-            log.warning("a peer sent what cannot be read: %s", error)
-            continue
-        receive(message)
+        with anyio.fail_after(silent_s - (anyio.current_time() - heard)):
+            buffer += await stream.receive(_FRAME_LIMIT)
+        # What came together is taken in at one go: each wait costs more than a message.
+        while (body := _cut_frame(buffer)) is not None:
+            heard = anyio.current_time()
+            try:
+                message = _decoder.decode(body)
+            except msgspec.DecodeError as error:
+                # A later version may say things that we do not know; its other words count.
+                log.warning("a peer sent what cannot be read: %s", error)
+                continue
+            receive(message)
+
+
+def _cut_frame(buffer: bytearray) -> bytes | None:
+    """Take the first whole frame's body out of what was received, if there is one."""
+    if len(buffer) < 4:
+        return None
+    size = int.from_bytes(buffer[:4], "big")
+    if not 0 < size <= _FRAME_LIMIT:
+        raise ValueError(f"a frame of {size} bytes")
+    if len(buffer) < 4 + size:
+        return None
+    body = bytes(buffer[4 : 4 + size])
+    del buffer[: 4 + size]
+    return body
--- a/tools/search.py
+++ b/tools/search.py
@@ -21,7 +21,8 @@
 DAYS = {
     "world": "from test_world import *; play_day({seed}, {trouble})",
     "upgrade": "from test_upgrade import *; play_upgrade({seed}, {trouble})",
-    "pipelines": "from test_pipelines import *; from days import *; play_pipelines({seed}, {trouble})",
+    "pipelines": "import days; from test_pipelines import *; "
+    "play_pipelines({seed}, days.{trouble})",
     "grown": "from test_world import *; play_grown({seed}, {trouble})",
 }
 
