--- a/src/sandladder/cli.py
+++ b/src/sandladder/cli.py
@@ -10,7 +10,6 @@
 import anyio
 
 from sandladder import __version__
-from sandladder.loop import new_loop
 from sandladder.settings import Settings, SettingsError, load
 
 OPERATOR_ENV = "SANDLADDER_OPERATOR"
@@ -97,7 +96,7 @@
         format="%(levelname)s %(name)s: %(message)s",
     )
     try:
-        anyio.run(_serve, settings, backend_options={"loop_factory": new_loop})
+        anyio.run(_serve, settings, backend_options={"use_uvloop": True})
     except KeyboardInterrupt:
         return 130
     except OSError as error:
