--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,101 @@
+"""How much is worked out again for a change: counted, not timed, so that it cannot creep back."""
+
+from collections import Counter
+from random import Random
+
+from helpers import LIMITS, accept, commit, scene
+from sandladder.lifecycle import Ended, Placement, View, end, start
+from sandladder.mirror import Mirror
+from sandladder.model import Machine, Report
+from sandladder.picture import Picture
+
+
+def report(number: int, seq: int, session: int = 1, notice: float | None = None) -> Report:
+    name = f"vm-{number:06d}"
+    return Report(name, f"{name}:1", "small", "north", False, session, seq, 1, notice, ())
+
+
+def hear(picture: Picture, found: Report) -> None:
+    picture.heard(picture.delivery.heard(found, picture.now, direct=False).dialogue)
+
+
+def test_one_report_has_one_room_worked_out_however_many_machines_there_are() -> None:
+    for machines in (100, 300, 600):
+        picture, _, _, _ = scene()
+        for number in range(machines):
+            hear(picture, report(number, 1))
+        before = picture.usable_rooms()
+        assert len(before) == machines + 2
+        hear(picture, report(7, 2))
+        after = picture.usable_rooms()
+        assert [m for m in after if after[m] is not before[m]] == ["vm-000007"]
+        picture.now += picture.fresh_s / 2
+        again = picture.usable_rooms()
+        assert all(again[m] is after[m] for m in after)
+
+
+def test_a_room_kept_is_the_room_that_would_be_worked_out() -> None:
+    """Random reports, doubts, drains, starts and time, against a picture that keeps nothing."""
+    for seed in range(40):
+        rng = Random(seed)
+        picture, _, mirror, _ = scene()
+        job = accept(mirror, entries=60, vcpus=0.5, ram_gb=0.5)
+        for step in range(120):
+            picture.now += rng.choice([0.0, 0.1, 1.0, 4.0])
+            number = rng.randrange(6)
+            name = f"vm-{number:06d}"
+            what = rng.randrange(6)
+            if what < 2:
+                notice = rng.choice([None, None, None, 5.0])
+                hear(picture, report(number, step + 1, 1 + step // 50, notice))
+            elif what == 2:
+                picture.doubt(name, rng.uniform(0.5, 3.0))
+            elif what == 3:
+                state = rng.choice(["rented", "draining", "gone"])
+                mirror.fleet[name] = Machine("small", "north", False, state, 0.0)
+                picture.relist()
+            elif what == 4 and job.waiting:
+                view = View(mirror)
+                task = next(iter(job.pending()))
+                start(view, job.id, [Placement(task, name, "north", 1)], LIMITS)
+                commit(mirror, view)
+                job = mirror.jobs[job.id]
+                picture.touch(name)
+            elif job.live:
+                task = rng.choice(list(job.live))
+                picture.note_over(Ended(job.id, task, job.live[task], "done"))
+            kept = {m: picture.room(m) for m in picture.machines()}
+            usable = picture.usable_rooms(0.5)
+            picture.recount()
+            fresh = {m: picture.room(m) for m in picture.machines()}
+            assert kept == fresh
+            assert usable == {m: r for m, r in fresh.items() if r and r.usable and r.cpus >= 0.5}
+
+
+def test_the_sessions_that_hold_attempts_follow_random_starts_and_ends() -> None:
+    for seed in range(40):
+        rng = Random(seed)
+        mirror = Mirror()
+        found = accept(mirror, entries=40, vcpus=0.1)
+        for _ in range(60):
+            view, job = View(mirror), mirror.jobs.get(found.id)
+            if job is None:
+                break
+            free = list(job.pending())
+            if free and rng.random() < 0.6:
+                place = Placement(
+                    rng.choice(free), f"vm-{rng.randrange(4)}", "north", rng.randint(1, 3)
+                )
+                start(view, job.id, [place], LIMITS)
+            elif job.live:
+                task = rng.choice(list(job.live))
+                outcome = rng.choice(["done", "lost"])
+                assert end(view, [Ended(job.id, task, job.live[task], outcome)], 0.0)
+            else:
+                continue
+            commit(mirror, view)
+            truth: dict[str, Counter[int]] = {}
+            live = mirror.jobs[found.id].live if found.id in mirror.jobs else {}
+            for attempt in live.values():
+                truth.setdefault(attempt.machine, Counter())[attempt.session] += 1
+            assert mirror.sessions == truth
