Planning paced by the write budget, a floor by age, cut zones left to themselves

A quarter of each transaction goes to what has waited longest, whatever its priority: for as long as urgent work came nothing else was started.

Nothing new is started on machines whose controller is suspect or does not reach the state service.

A controller that is told to end (SIGTERM) hands its teams over first. Tests end a controller at each point of what may be under way, and play fifteen kinds of faults with a quick and a slow store.

--- a/src/sandladder/cli.py
+++ b/src/sandladder/cli.py
@@ -3,7 +3,9 @@
 import argparse
 import logging
 import os
+import signal
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 from random import Random
 
@@ -48,7 +50,18 @@
 async def _serve(settings: Settings) -> None:
     from sandladder.control import Controller
 
-    await Controller(settings, Random()).run()
+    controller = Controller(settings, Random())
+
+    async def go_when_told(signals: AsyncIterator[signal.Signals]) -> None:
+        async for _ in signals:
+            logging.getLogger(__name__).info("told to end: handing over")
+            await controller.leave()
+
+    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(go_when_told, signals)
+            await controller.run()
+            tasks.cancel_scope.cancel()
 
 
 async def _retire(settings: Settings, node: str) -> str | None:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -26,7 +26,7 @@
 from sandladder.membership.grading import Ears
 from sandladder.membership.steward import Steward
 from sandladder.mirror import Mirror
-from sandladder.model import Job
+from sandladder.model import HIGH, LOW, Job
 from sandladder.peers import Peers
 from sandladder.picture import Picture
 from sandladder.placement import Planner
@@ -107,6 +107,7 @@
             self._changed,
             self.limits,
             trust_s=8 * self.lease_s,
+            patience_s=self.report_s,
         )
         host, port = split_addr(settings.platform.external.cloud)
         self.cloud = CloudClient(connect(host, port, keep=2), timeout=self.lease_s / 3)
@@ -129,6 +130,7 @@
             self.limits,
             wall,
             self._moved,
+            self.picture.doubt_clerks,
         )
         self.plan_due = Signal()
         self.tasks: TaskGroup | None = None
@@ -153,6 +155,15 @@
             ):
                 tasks.start_soon(self._duty, duty)
 
+    async def leave(self) -> None:
+        """End in order: hand over what is placed here, tell the others, and stop serving."""
+        await self.membership.leave(self.report_s)
+        for link in self.peers.links.values():
+            link.nudge()
+        await anyio.sleep(self.beat_s / 6)
+        if self.tasks is not None:
+            self.tasks.cancel_scope.cancel()
+
     def _listen(self, tasks: TaskGroup) -> None:
         """Start serving users, workers and peers."""
         platform = self.settings.platform
@@ -255,7 +266,9 @@
             began = self.picture.now = anyio.current_time()
             self.picture.ahead = self.wall() - began
             owned = self._owned()
-            admitted = self.planner.plan(owned, self.work.barred)
+            # What cannot be written yet would only grow stale: another controller takes the room.
+            soon = self.committer.free_in_s <= self.report_s / 16
+            admitted = self.planner.plan(owned, self.work.barred, LOW if soon else HIGH)
             self.work.start(admitted)
             for victim in self.evictor.preempt(owned, self.work.barred) + self.evictor.moves(owned):
                 self._commit_stop(victim)
--- a/src/sandladder/membership/duty.py
+++ b/src/sandladder/membership/duty.py
@@ -42,15 +42,20 @@
         limits: Limits,
         wall: Callable[[], float],
         moved: Callable[[], None],
+        doubted: Callable[[frozenset[str]], None],
     ) -> None:
-        """`zones` of the controllers; `moved` is called when a team came to us or went."""
+        """`zones` of the controllers; `moved` is called when a team came to us or went, `doubted`
+        with the controllers that cannot do their part, whenever these change.
+        """
         self.steward, self.ears = steward, steward.ears
         self.node = steward.node
         self._zones = zones
         self.own: Placer | None = None  # this process, once it has entered
+        self.leaving = False
         self.due = Signal()
         self._mirror, self._committer, self._hold = mirror, committer, hold
         self._limits, self._wall, self._moved = limits, wall, moved
+        self._doubted, self._doubts = doubted, frozenset[str]()
         self._under_way: set[tuple[str, str]] = set()
         self._summaries: dict[str, Summary] = {}
         self._members: dict[str, Member] = {}
@@ -131,6 +136,13 @@
 
     # The routine
 
+    async def leave(self, within_s: float) -> None:
+        """Hand over what is placed here before this process ends, if that is soon done."""
+        self.leaving = True
+        if self.own is not None and self._hold.alive():
+            with anyio.move_on_after(within_s):
+                await self._commit(Act("leave"))
+
     async def run(self) -> None:
         """Judge and act until cancelled."""
         tick = self.ears.beat_s / _LOOKS
@@ -141,16 +153,26 @@
                 now = anyio.current_time()
                 if now - asked >= tick:  # else somebody woke us before the time
                     self.ears.woke(now - asked - tick, now)
-                own = self.own if self._hold.alive() else None
-                for act in self.steward.step(now, self._wall(), own):
+                own = self.own if self._hold.alive() and not self.leaving else None
+                acts = self.steward.step(now, self._wall(), own)
+                self._tell_doubts()
+                for act in acts:
                     if (act.kind, act.name) not in self._under_way:
                         self._under_way.add((act.kind, act.name))
                         tasks.start_soon(self._commit, act)
 
+    def _tell_doubts(self) -> None:
+        doubts = frozenset(
+            node for node, found in self.steward.findings.items() if found.grade >= Grade.UNABLE
+        )
+        if doubts != self._doubts:
+            self._doubts = doubts
+            self._doubted(doubts)
+
     async def _commit(self, act: Act) -> None:
         """Write what was decided, unless the records have moved on."""
         # The answer to a suspicion and a hand-over are what people wait for.
-        teams = len(self.steward.homes) if act.kind in ("enter", "expel") else 0
+        teams = len(self.steward.homes) if act.kind in ("enter", "leave", "expel") else 0
         cost = min(1 + teams, self._limits.txn_ops)
         change = Change(f"{act.kind} {act.name or self.node}", P_HOLD, cost, self._apply(act))
         try:
--- a/src/sandladder/membership/roster.py
+++ b/src/sandladder/membership/roster.py
@@ -179,6 +179,17 @@
     return Move(after.roster, moved)
 
 
+def leave(records: Records, node: str, term: int, wall: float) -> Move:
+    """A controller that goes hands over what it has itself; that is no flap."""
+    known = records.roster.get(node)
+    if known is None or known.term != term or known.state == OUT:
+        return _NOTHING
+    move = expel(records, node, known, "it went", wall, 1.0)
+    assert move.roster is not None
+    gone = move.roster[node]._replace(flaps=known.flaps)
+    return move._replace(roster={**move.roster, node: gone})
+
+
 def take(records: Records, team: str, home: str, placer: Placer) -> Move:
     """A member takes a team that is its own by the records, and nobody else's."""
     if records.placers.get(team) == placer:
--- a/src/sandladder/membership/spread.py
+++ b/src/sandladder/membership/spread.py
@@ -17,6 +17,8 @@
 # Whoever is asked instead must have so much less, as a share of the fair one: two that know each
 # other's numbers a beat late would else send a machine back and forth.
 _MARGIN = 0.05
+# A machine that nobody has heard for so much of its lease is not sent on.
+_PATIENT = 0.5
 # While all is well so large a share of the fair one moves in a report interval.
 _MOVED = 0.1
 
@@ -36,9 +38,11 @@
 class Spread:
     """One controller's part in sharing the machines out."""
 
-    def __init__(self, node: str, report_s: float) -> None:
+    def __init__(self, node: str, report_s: float, lease_s: float) -> None:
         self._node = node
         self._report_s = report_s
+        self._patience_s = _PATIENT * lease_s
+        self._sent: dict[str, float] = {}  # when a machine was last referred
         self._referred: dict[str, tuple[int, int]] = {}  # to whom, on top of which number
         self._moves = 0.0
         self._at = 0.0
@@ -49,6 +53,7 @@
         zone: str,
         token: int,
         ours: bool,
+        quiet_s: float | None,
         loads: Mapping[str, Load],
         now: float,
         calm: bool,
@@ -59,10 +64,17 @@
         at a time, and only to a controller that need not take a new term for it (`token` is what
         the machine has seen): that costs the store, and all its machines a moment.  `loads` are
         the controllers that can take machines, we among them.
+        `quiet_s` is how long ago anybody heard it, None if nobody knows it: one that has been
+        looking for a controller for a while is taken at once, before its lease runs out.
         """
         mine = loads.get(self._node)
         if mine is None or len(loads) < 2 or (ours and not calm):
             return None
+        if (quiet_s is None and token > 0) or (quiet_s or 0.0) > self._patience_s:
+            return None
+        # It may not reach the one that it was sent to, though we do.
+        if now - self._sent.get(machine, -math.inf) < 4 * self._patience_s:
+            return None
         fair = max(1.0, sum(load.machines for load in loads.values()) / len(loads))
         away = mine.zone != zone
         bound = (_MOST_FOREIGN if away else _MOST) * fair
@@ -91,6 +103,8 @@
         base = loads[node].machines
         count = known[1] if known is not None and known[0] == base else 0
         self._referred[node] = base, count + 1
+        self._sent = {m: at for m, at in self._sent.items() if now - at < 4 * self._patience_s}
+        self._sent[machine] = now
         return node
 
     def _number(self, node: str, told: int) -> int:
--- a/src/sandladder/membership/steward.py
+++ b/src/sandladder/membership/steward.py
@@ -42,7 +42,7 @@
 class Act(NamedTuple):
     """Something to be committed: what, about whom, and what was seen of them."""
 
-    kind: str  # enter, refute, accuse, acquit, expel, take or give
+    kind: str  # enter, leave, refute, accuse, acquit, expel, take or give
     name: str = ""  # the member, or the team
     seen: Member | Placer | None = None
     why: str = ""
@@ -220,6 +220,8 @@
         records, seen = Records.of(mirror), act.seen
         if act.kind == "enter":
             return roster.enter(records, self.node, own.term, wall, self.homes)
+        if act.kind == "leave":
+            return roster.leave(records, self.node, own.term, wall)
         if act.kind == "refute":
             return roster.refute(records, self.node, own.term)
         if act.kind == "take":
--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -98,7 +98,7 @@
         if self._c.hold.superseded:
             return None
         self._share_writes()
-        membership = self._c.membership
+        membership, now = self._c.membership, anyio.current_time()
         return mesh.Beat(
             self._c.node,
             self._c.hold.alive() and self._c.state_ok(),
@@ -107,9 +107,10 @@
             term=membership.own.term if membership.own else 0,
             token=self._c.delivery.term,
             late_s=round(membership.ears.late_s, 3),
-            machines=self._c.workers.count,
-            leaving=False,
-            heard=membership.ears.silences(anyio.current_time()),
+            # One that no machine reaches is sent none.
+            machines=None if self._c.workers.deaf(now) else self._c.workers.count,
+            leaving=membership.leaving,
+            heard=membership.ears.silences(now),
         )
 
     def _share_writes(self) -> None:
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -114,6 +114,8 @@
         self._touched: dict[str, int] = {}
         self._sights: dict[str, Sight] = {}
         self._doubts: dict[str, float] = {}  # machines that refused a start, and until when
+        # Controllers that cannot have a start sent now: what reports to them is not given any.
+        self._doubted_clerks: frozenset[str] = frozenset()
         self._told: dict[str, Summary] = {}  # the summaries that were taken in
         # What is left on machines, worked out again only where something changed.
         self._left: dict[str, tuple[float, float, float]] = {}
@@ -198,6 +200,7 @@
             seen.notice_s is None
             and seen.errors < SICK_ERRORS
             and (listed is None or listed.state not in ("draining", "gone"))
+            and sight.clerk not in self._doubted_clerks
         )
         # What makes it usable or not by the passing of time alone.
         doubted, stale = self._doubts.get(machine, -math.inf), sight.at + late
@@ -256,6 +259,18 @@
         self._doubts[machine] = self.now + for_s
         self._rooms.pop(machine, None)
 
+    def doubt_clerks(self, clerks: frozenset[str]) -> None:
+        """These controllers are not there, or cannot learn what is to start.
+
+        Seen in a measured day: for the nine seconds until a cut zone's machines were stale, work
+        was put there, and could not go elsewhere before the cut ended.
+        """
+        changed, self._doubted_clerks = clerks ^ self._doubted_clerks, clerks
+        if changed:
+            for machine, sight in self._sights.items():
+                if sight.clerk in changed:
+                    self.touch(machine)
+
     def services(self, machine: str) -> float:
         """How many cores of it services hold."""
         held = self._services.get(machine)
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -15,7 +15,7 @@
 
 from sandladder.lifecycle import Placement
 from sandladder.limits import Limits
-from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec
+from sandladder.model import GANG, HIGH, LOW, SERVICE, Job, JobSpec
 from sandladder.picture import Picture, allowed, holds, less
 from sandladder.premises import Intent, Room
 
@@ -36,9 +36,14 @@
         self.limits = limits
         self.again_s = math.inf  # after so long a plan may look different by itself
 
-    def plan(self, owned: Iterable[Job], barred: dict[str, float]) -> list[Intent]:
+    def plan(
+        self, owned: Iterable[Job], barred: dict[str, float], least: int = LOW
+    ) -> list[Intent]:
         """Admit pending starts for as many waiting tasks as fit; `barred` jobs back off.
 
+        Only for jobs of the priority `least` or more.  Seen in a measured day: with the store
+        as the bottleneck, twenty starts were planned for each that could be written.
+
         More urgent jobs of other controllers are placed on paper only: the room that they
         are about to take, or that was made for them, is not given to lesser work.
         """
@@ -48,7 +53,10 @@
         mine = {
             job.id
             for job in owned
-            if job.waiting > 0 and barred.get(job.id, 0.0) <= picture.now and ready(job)
+            if job.waiting > 0
+            and barred.get(job.id, 0.0) <= picture.now
+            and picture.outlook(job).priority >= least
+            and ready(job)
         }
         pending: dict[str, list[Intent]] = {}
         spent: dict[str, tuple[float, float]] = {}
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -35,6 +35,8 @@
 _REMEMBERED = 32
 # How many machines one request to the cloud may ask for.
 _MOST_HIRED = 50
+# Where more than this share of a zone's machines is silent, it is the way to them.
+_SILENT_ZONE = 0.5
 # A machine is given up when less than this share of it is used, and what uses it would cost
 # so many times less elsewhere.
 _WASTEFUL_USE, _WASTEFUL_PRICE = 0.4, 1.6
@@ -497,27 +499,33 @@
     def silent(self, wall: float) -> list[str]:
         """Machines that came up and went silent: returning them proves what was on them gone.
 
-        Only when few are silent: if many are, it is rather we who cannot hear them.  A
-        controller whose summaries are held up may still hear some of these, so each is
-        asked directly before anything is done (see `Renter`).
+        Only when few are silent: if many are, it is rather we who cannot hear them, or their zone
+        that is cut off and works on inside.  Seen in a measured day: half of the fleet was returned
+        with all that ran there.  A controller whose summaries are held up may still hear some
+        of these, so each is asked directly before anything is done (see `Renter`).
         """
         picture = self.picture
         heard_lately = set()
-        doubtful = []
+        doubtful: dict[str, list[str]] = {}
+        heard: Counter[str] = Counter()
         limit = picture.settings.operator.silent_leases * self._lease_s
         for machine in picture.machines():
             sight = picture.sight(machine)
             if sight is not None and picture.age_s(sight) <= limit:
                 heard_lately.add(machine)
+                heard[sight.seen.zone] += 1
         for machine in self._came_up:
             record = picture.mirror.fleet.get(machine)
             if machine in heard_lately or record is None or record.state == "gone":
                 continue
             if wall - record.since > limit:
-                doubtful.append(machine)
-        if len(doubtful) > max(1, (len(heard_lately) + len(doubtful)) // 2):
-            return []
-        return doubtful
+                doubtful.setdefault(record.zone, []).append(machine)
+        return [
+            machine
+            for zone, machines in doubtful.items()
+            if len(machines) <= max(1, _SILENT_ZONE * (heard[zone] + len(machines)))
+            for machine in machines
+        ]
 
     def _state(self, machine: str) -> str:
         record = self.picture.mirror.fleet.get(machine)
--- a/src/sandladder/store.py
+++ b/src/sandladder/store.py
@@ -359,6 +359,7 @@
         self.leased = leased  # it puts a key under a lease
         self.adds = adds or (lambda view: cost)  # what it adds at most to what is in already
         self.on_commit = on_commit  # called once it is committed, before the news is passed on
+        self.since = 0.0  # when it came to wait, on the steady clock
         self.finished = anyio.Event()
         self.error: Exception | None = None
         self.abandoned = False
@@ -378,6 +379,27 @@
         self.finished.set()
 
 
+# The share of a transaction that goes to what has waited longest, however urgent the rest is.
+_FLOOR = 0.25
+
+
+def turns(queue: list[Change], last: float, most: int, waited: float) -> list[Change]:
+    """In which order changes are put into a transaction of at most so many puts and deletes.
+
+    The more urgent first, as far as the priority `last`; but a part of each transaction goes to
+    what has waited since before `waited`, whatever its priority.  Seen in a measured day: for as
+    long as urgent work came, nothing else was started.
+    """
+    ready = [change for change in queue if change.priority <= last]
+    aged = [change for change in queue if change.priority < P_IDLE and change.since < waited]
+    if not ready or not aged:
+        return ready
+    aged.sort(key=lambda change: change.since)
+    floor = max(1, int(_FLOOR * most))
+    first = ready[: max(1, most - floor)]
+    return list(dict.fromkeys([*first, *aged[:floor], *ready]))
+
+
 class Committer:
     """Joins waiting changes into transactions, one at a time, within the write budget."""
 
@@ -390,13 +412,16 @@
         on_change: Callable[[dict[str, None]], None],
         limits: Limits,
         trust_s: float,
+        patience_s: float = 1.0,
         most_queued: int = 2048,
     ) -> None:
+        """`patience_s`: what has waited longer goes along with whatever is more urgent."""
         self._state = state
         self._mirror = mirror
         self._limits = limits
         # How long limits that were found smaller than the settings are kept so.
         self._trust_s = trust_s
+        self._patience_s = patience_s
         self._shrunk_at = float("-inf")
         # The teams' records that a transaction without an answer relied on and did not change, with
         # the version that it relied on.
@@ -429,7 +454,13 @@
         """Whether new work of users should be turned away."""
         return len(self._queue) >= self._most_queued
 
+    @property
+    def free_in_s(self) -> float:
+        """How long until work that is not urgent may be written."""
+        return self._state.writes.delay(self._queue[0].cost if self._queue else 1)
+
     def add(self, change: Change) -> Change:
+        change.since = anyio.current_time()
         self._queue.append(change)
         self._work.set()
         return change
@@ -480,9 +511,8 @@
         most = max(LEAST_TXN_OPS, int(min(self._limits.txn_ops * self._share, piece)))
         view = View(self._mirror, self._limits.value_bytes, self.unsure)
         chosen: list[Change] = []
-        for change in list(self._queue):
-            if change.priority > last:
-                break
+        waited = anyio.current_time() - self._patience_s
+        for change in turns(self._queue, last, most, waited):
             if chosen and (self._one_by_one or view.size + change.adds(view) > most):
                 break
             trial = view.fork()
--- a/src/sandladder/workers.py
+++ b/src/sandladder/workers.py
@@ -41,7 +41,7 @@
         self.count = 0  # machines that report to us
         self._reported_at = math.inf  # when the last one did
         self._had = 0  # how many there were then
-        self._spread = Spread(controller.node, controller.report_s)
+        self._spread = Spread(controller.node, controller.report_s, controller.lease_s)
         self._clients: dict[str, tuple[str, Requester]] = {}
 
     async def report(self, request: Request) -> Response:
@@ -94,7 +94,11 @@
         ours = known is not None and known.reported_at > now - self._c.picture.fresh_s
         loads = self._c.membership.loads(self.count, self._c.delivery.term)
         calm = self._c.membership.steward.calm(now)
-        node = self._spread.refer(report.machine, report.zone, report.token, ours, loads, now, calm)
+        sight = self._c.picture.sight(report.machine)
+        quiet_s = None if sight is None else now - sight.at
+        node = self._spread.refer(
+            report.machine, report.zone, report.token, ours, quiet_s, loads, now, calm
+        )
         if node is None:
             self.count += not ours
             return None
--- /dev/null
+++ b/tests/membership/test_faults.py
@@ -0,0 +1,247 @@
+"""Whole controllers through each kind of fault, also with a slow state service; the rules hold."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from days import warm
+from world import World, job, now, run
+
+Fault = Callable[[World, int], Awaitable[None]]
+LEASE, HOLD, REPORT = 12.0, 24.0, 2.0  # of the world
+
+
+async def ends(world: World, index: int) -> None:
+    world.crash(index)
+    await anyio.sleep(4.0)
+    world.boot(index)
+
+
+async def _freeze(world: World, index: int, seconds: float) -> None:
+    world.freeze(index)
+    await anyio.sleep(seconds)
+    world.thaw(index)
+
+
+async def stands_still_for_a_moment(world: World, index: int) -> None:
+    await _freeze(world, index, 0.8 * REPORT)
+
+
+async def stands_still_past_a_lease(world: World, index: int) -> None:
+    await _freeze(world, index, LEASE + 3.0)
+
+
+async def stands_still_past_its_hold(world: World, index: int) -> None:
+    await _freeze(world, index, HOLD + 4.0)
+
+
+async def is_slow(world: World, index: int) -> None:
+    world.slow(index, 0.01)
+    await anyio.sleep(20.0)
+    world.slow(index, 0.0)
+
+
+async def _cut(world: World, index: int, others: list[str], one_way: bool = False) -> None:
+    for other in others:
+        if one_way:
+            world.network.one_way[f"node-{index}", other] = "drop"
+        else:
+            world.network.cut(f"node-{index}", other, "hold")
+    await anyio.sleep(16.0)
+    world.network.heal()
+
+
+def _others(world: World, index: int) -> list[str]:
+    return [f"node-{i}" for i in range(world.count) if i != index]
+
+
+async def is_not_heard(world: World, index: int) -> None:
+    await _cut(world, index, _others(world, index), one_way=True)
+
+
+async def is_cut_from_one_peer(world: World, index: int) -> None:
+    await _cut(world, index, _others(world, index)[:1])
+
+
+async def is_refused_by_all(world: World, index: int) -> None:
+    for other in _others(world, index):
+        world.network.refused.add(frozenset((f"node-{index}", other)))
+    await anyio.sleep(16.0)
+    world.network.heal()
+
+
+async def loses_the_store(world: World, index: int) -> None:
+    await _cut(world, index, ["state"])
+
+
+async def loses_the_machines(world: World, index: int) -> None:
+    await _cut(world, index, list(world.cloud.workers))
+
+
+async def is_refused_by_the_store(world: World, index: int) -> None:
+    world.store.refuses = {f"node-{index}"}
+    await anyio.sleep(30.0)
+    world.store.refuses = set()
+
+
+async def two_end(world: World, index: int) -> None:
+    for other in (index, (index + 1) % world.count):
+        world.crash(other)
+    await anyio.sleep(5.0)
+    for other in (index, (index + 1) % world.count):
+        world.boot(other)
+
+
+async def all_end(world: World, index: int) -> None:
+    for other in range(world.count):
+        world.crash(other)
+    await anyio.sleep(3.0)
+    for other in range(world.count):
+        world.boot(other)
+
+
+async def all_roll(world: World, index: int) -> None:
+    for other in range(world.count):
+        world.crash(other)
+        await anyio.sleep(3.0)
+        world.boot(other)
+        await anyio.sleep(5.0)
+
+
+async def flaps(world: World, index: int) -> None:
+    for _ in range(8):
+        await _freeze(world, index, 3.5)
+        await anyio.sleep(1.5)
+
+
+# With the most moves of its team that each may cause, and of any other team.
+FAULTS: dict[Fault, tuple[int, int]] = {
+    ends: (2, 0),
+    stands_still_for_a_moment: (0, 0),
+    stands_still_past_a_lease: (2, 0),
+    stands_still_past_its_hold: (2, 0),
+    is_slow: (2, 0),
+    is_not_heard: (0, 0),
+    is_cut_from_one_peer: (0, 0),
+    is_refused_by_all: (0, 0),
+    loses_the_store: (2, 0),
+    loses_the_machines: (0, 0),
+    is_refused_by_the_store: (2, 0),
+    two_end: (2, 2),
+    all_end: (0, 0),
+    all_roll: (4, 4),
+    flaps: (2, 0),
+}
+
+
+def moves(world: World, since: float) -> dict[str, int]:
+    """How often each team went from one controller to another."""
+    last: dict[str, Any] = {}
+    found = {"red": 0, "blue": 0}
+    for at, key, value in world.store.history:
+        if key.startswith("s/t/"):
+            team = key[4:]
+            found[team] += at >= since and last.get(team, value["p"]) != value["p"]
+            last[team] = value["p"]
+    return found
+
+
+@pytest.mark.parametrize("slow", [0.0, 0.15], ids=["", "slow store"])
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
+def test_the_rules_hold_and_teams_move_no_more_than_they_must(fault: Fault, slow: float) -> None:
+    """The controller that places `red` meets the fault; work of both teams goes on."""
+    world = World(300 + list(FAULTS).index(fault))
+    began = 0.0
+
+    async def main() -> None:
+        nonlocal began
+        await warm(world)
+        while len(world.store.items.get("s/m/roster", ({},))[0]) < 3:
+            await anyio.sleep(0.5)
+        await anyio.sleep(3.0)
+        world.store.slow_s = slow
+        placer = world.store.items["s/t/red"][0]["p"]
+        specs = [
+            job(n, entries=3, bureau=("red", "blue")[n % 2], expect_s=4.0 + 30.0 * (n < 2))
+            for n in range(10)
+        ]
+        for spec in specs[:4]:
+            await world.submit(spec)
+        await anyio.sleep(14.0)
+        began = now()
+
+        async def users() -> None:
+            for spec in specs[4:]:
+                world.network.tasks.start_soon(world.submit, spec)
+                await anyio.sleep(2.5)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(users)
+            tasks.start_soon(fault, world, int(placer[-1]))
+        assert not await world.until_done([spec["id"] for spec in specs], 120.0)
+        world.check()
+
+    run(world, main)
+    assert world.broken == []
+    own, other = FAULTS[fault]
+    moved = moves(world, began)
+    assert moved["red"] <= own and moved["blue"] <= other, moved
+
+
+def test_one_that_knows_it_goes_hands_its_team_over_first() -> None:
+    world = World(350)
+
+    async def main() -> None:
+        await warm(world)
+        await anyio.sleep(6.0)
+        placer = world.store.items["s/t/red"][0]["p"]
+        began = now()
+        await world.nodes[placer].membership.leave(REPORT)
+        assert now() - began < 0.5
+        assert world.store.items["s/t/red"][0]["p"] != placer
+        world.crash(int(placer[-1]))
+        await anyio.sleep(3.0)
+        world.boot(int(placer[-1]))
+        await anyio.sleep(15.0)
+        assert world.store.items["s/t/red"][0]["p"] == placer
+        assert moves(world, began) == {"red": 2, "blue": 0}
+
+    run(world, main)
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("fault", [ends, stands_still_past_a_lease, loses_the_store])
+def test_a_team_starts_again_soon_after_its_placer_is_gone(fault: Fault) -> None:
+    """Measured from the fault to the next start of the team's work, machines being at hand."""
+    world = World(340)
+
+    async def main() -> None:
+        await warm(world)
+        await anyio.sleep(5.0)
+        for number in range(2):
+            await world.submit(job(number, entries=8, expect_s=20.0))
+        await anyio.sleep(40.0)
+        placer = world.store.items["s/t/red"][0]["p"]
+        world.network.tasks.start_soon(fault, world, int(placer[-1]))
+        began = now()
+        while now() - began < 2 * REPORT:
+            number = int(now() * 100) % 10**6
+            spec = job(number, entries=1)
+            world.specs[spec["id"]] = spec
+            others = [i for i in range(3) if f"node-{i}" != placer]
+            world.network.tasks.start_soon(
+                world.ask, "POST", "/work", spec, world.rng.choice(others)
+            )
+            await anyio.sleep(0.5)
+        starts = [
+            at
+            for at, key, value in world.store.history
+            if key.startswith("s/j/job-") and isinstance(value, dict) and value.get("l")
+            if at > began + 0.2
+        ]
+        assert starts and min(starts) - began <= (2.0 if fault is ends else 2 * REPORT)
+
+    run(world, main)
+    assert world.broken == []
--- /dev/null
+++ b/tests/membership/test_under_way.py
@@ -0,0 +1,171 @@
+"""A controller ends at the very point at which something of it is under way; others go on.
+
+Each point is one line of the table in docs/membership.md.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import cbor2
+import pytest
+
+from days import warm
+from sandladder.http import Request
+from world import World, job, now, run
+
+# Whether a request is the point at which its source, or else its target, ends.
+Point = Callable[[str, str, str, Request], bool]
+
+
+def _records(request: Request) -> list[Any]:
+    """The jobs' records that a commit writes."""
+    if request.path != "/commit":
+        return []
+    changes = cbor2.loads(request.body)["apply"]
+    return [c["v"] for c in changes if c.get("put", "").startswith("s/j/job-")]
+
+
+def _job(value: Any) -> bool:
+    return isinstance(value, dict) and "s" in value
+
+
+def start_committed(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "after" and any(_job(v) and v.get("l") for v in _records(request))
+
+
+def start_not_committed(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "before" and any(_job(v) and v.get("l") for v in _records(request))
+
+
+def end_committed(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "after" and any(not _job(v) for v in _records(request))
+
+
+def _orders(request: Request, verb: str) -> bool:
+    return request.path == "/do" and any(
+        order["verb"] == verb for order in cbor2.loads(request.body)["orders"]
+    )
+
+
+def run_sent(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "before" and _orders(request, "run")
+
+
+def run_carried_out(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "after" and _orders(request, "run")
+
+
+def halt_sent(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "before" and _orders(request, "halt")
+
+
+def exit_reported(when: str, source: str, target: str, request: Request) -> bool:
+    if when != "before" or request.path != "/v1/report":
+        return False
+    return any(e["standing"] == "exited" for e in cbor2.loads(request.body)["entries"])
+
+
+def submission_taken(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "after" and any(_job(v) and not v.get("l") for v in _records(request))
+
+
+def machines_hired(when: str, source: str, target: str, request: Request) -> bool:
+    return when == "after" and request.path == "/machines"
+
+
+POINTS: list[Point] = [
+    start_not_committed,
+    start_committed,
+    end_committed,
+    run_sent,
+    run_carried_out,
+    halt_sent,
+    exit_reported,
+    submission_taken,
+    machines_hired,
+]
+
+
+@pytest.mark.parametrize("point", POINTS, ids=lambda p: p.__name__)
+def test_what_was_under_way_is_taken_on(point: Point) -> None:
+    world = World(80 + POINTS.index(point))
+    ended: list[tuple[float, str]] = []
+    # The first few times are let pass, so that the day is under way.
+    skip = world.rng.randrange(4)
+    web = job(900, form="service", entries=2, rank="prod", docket="web", loaners=False)
+
+    def trap(when: str, source: str, target: str, request: Request) -> None:
+        nonlocal skip
+        if len(ended) >= 3 or not point(when, source, target, request):
+            return
+        node = source if source.startswith("node-") else target
+        if not node.startswith("node-") or node not in world.nodes:
+            return
+        skip -= 1
+        if skip < 0 and (not ended or now() - ended[-1][0] > 12.0):
+            ended.append((now(), node))
+            world.crash(int(node[-1]))
+
+    async def restart() -> None:
+        while True:
+            await anyio.sleep(0.5)
+            for index in range(world.count):
+                gone = [at for at, node in ended if node == f"node-{index}"]
+                if f"node-{index}" not in world.nodes and now() - gone[-1] > 5.0:
+                    world.boot(index)
+
+    async def main() -> None:
+        await warm(world)
+        world.network.trap = trap
+        world.network.start(restart)
+        ids = [f"job-{n:06d}" for n in range(10)]
+        await world.submit(web)
+        for number in range(10):
+            world.network.tasks.start_soon(world.submit, job(number, entries=4, expect_s=4.0))
+            await anyio.sleep(3.0)
+            if number % 4 == 2:
+                up = [w for w, t in world.present() if t.name.startswith(web["id"])]
+                if up:  # its replicas are to move: stops are under way
+                    up[0].notice_until = now() + 12.0
+        assert not await world.until_done(ids, 150.0)
+        assert await world.cancel(web["id"]) == "cancelled"
+        await anyio.sleep(45.0)
+        world.check()
+        assert not world.present()
+
+    run(world, main)
+    assert world.broken == []
+    assert ended, "the point was never reached"
+    # What was told once is not told again: each task ran as often as its machine or its
+    # controller was lost, and no more.
+    tasks = [name for name in world.starts if not name.startswith(web["id"])]
+    assert sum(world.starts[name] for name in tasks) <= len(tasks) + 4
+
+
+def test_a_cancellation_half_done_is_finished() -> None:
+    """The controller that committed it ends before it told the machines, and the user."""
+    world = World(95)
+
+    async def main() -> None:
+        await warm(world)
+        spec = job(1, entries=6, expect_s=300.0)
+        await world.submit(spec)
+        while len(world.present()) < 6:
+            await anyio.sleep(0.5)
+
+        def trap(when: str, source: str, target: str, request: Request) -> None:
+            if when == "after" and any(_job(v) and v.get("c") for v in _records(request)):
+                world.network.trap = None
+                world.crash(int(source[-1]))
+
+        world.network.trap = trap
+        asked = now()
+        assert await world.cancel(spec["id"]) == "cancelled"
+        assert world.network.trap is None
+        while world.present():
+            await anyio.sleep(0.5)
+        assert now() - asked < 20.0
+
+    run(world, main)
+    assert world.broken == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -131,8 +131,13 @@
     async def body() -> None:
         async with anyio.create_task_group() as tasks:
             world.start(tasks)
-            await main()
-            tasks.cancel_scope.cancel()
+            try:
+                await main()
+            finally:
+                # What stands still could not end.
+                for processor in world.processors.values():
+                    processor.thaw()
+                tasks.cancel_scope.cancel()
 
     anyio.run(body, backend_options={"loop_factory": VirtualLoop})
 
@@ -214,6 +219,8 @@
         self.cuts: dict[frozenset[str], str] = {}  # pair of hosts -> "drop" or "hold"
         self.one_way: dict[tuple[str, str], str] = {}  # the same, from the first to the second
         self.refused: set[frozenset[str]] = set()  # pairs of controllers that refuse each other
+        # Told of each request before and after it is carried out: (when, source, target, request).
+        self.trap: Callable[[str, str, str, Request], None] | None = None
         self.tasks: Any = None
 
     def cut(self, one: str, other: str, mode: str) -> None:
@@ -243,10 +250,14 @@
                 if mode == "drop":
                     return
                 await anyio.sleep(0.5)
+            if self.trap is not None:
+                self.trap("before", source, target, request)
             handler = self.handlers.get(target)
             if handler is None:
                 return
             answer = await handler(source, request)
+            if self.trap is not None:
+                self.trap("after", source, target, request)
             await anyio.sleep(self.rng.uniform(0.0005, 0.01))
             if self.between(target, source) is None:
                 box.append(answer)
