--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -74,12 +74,38 @@
         return max(0, number)
 
 
+class _Zones:
+    """How many more tasks of a job each zone may take."""
+
+    def __init__(self, most: int, there: Counter[str], only: str | None = None) -> None:
+        self._most, self._there, self._only = most, there, only
+
+    @staticmethod
+    def of(job: Job) -> "_Zones | None":
+        """For the waiting tasks of a job; None when any zone will do."""
+        there = Counter(attempt.zone for attempt in job.live.values())
+        if job.spec.spread:
+            return _Zones((job.spec.tasks + 1) // 2, there)
+        if job.spec.one_zone and there:
+            return _Zones(job.spec.tasks, there, next(iter(there)))
+        return None
+
+    def left(self, zone: str) -> int:
+        if self._only not in (None, zone):
+            return 0
+        return max(0, self._most - self._there[zone])
+
+    def take(self, zone: str, number: int) -> None:
+        self._there[zone] += number
+
+
 class _Lack(NamedTuple):
     """Tasks without room; `any_kind` if they are worth an ordinary machine."""
 
     spec: JobSpec
     any_kind: bool
     number: int
+    zones: "_Zones | None" = None  # where they may be, if not anywhere
 
 
 class Provisioner:
@@ -141,10 +167,12 @@
             patient = picture.patient(job)
             if spec.kind != SERVICE:
                 waiting[patient] += count * spec.cpus
-            missing = count - self._fill(spec, count, bins, patient)
+            zones = _Zones.of(job)
+            missing = count - self._fill(spec, count, bins, patient, zones)
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
             if missing:
-                lacking += self._worth(job, missing, backlog, wall - picture.since(job), patient)
+                worth = self._worth(job, missing, backlog, wall - picture.since(job), patient)
+                lacking += [lack._replace(zones=zones) for lack in worth]
         self._pressed = bool(lacking)
         self._note_demand(waiting)
         lacking += self._short()
@@ -159,7 +187,7 @@
                 lack.number, lack.spec.id, " and are worth any" if lack.any_kind else "",
             )  # fmt: skip
         # Room kept for what may come is not worth the dearer kind where the other will do.
-        lacking += [_Lack(spec, not spec.spot, n) for spec, n in self._spares(bins)]
+        lacking += [_Lack(spec, not spec.spot, n, zones) for spec, n, zones in self._spares(bins)]
         return self._rent(lacking)
 
     def _bins(self, wall: float, without: Collection[str] = ()) -> list[_Bin]:
@@ -202,8 +230,18 @@
         return count
 
     @staticmethod
-    def _fill(spec: JobSpec, count: int, bins: list[_Bin], patient: bool = False) -> int:
-        """Put up to so many tasks into the bins, of the cheaper kind if patient; how many fit."""
+    def _fill(
+        spec: JobSpec,
+        count: int,
+        bins: list[_Bin],
+        patient: bool = False,
+        zones: _Zones | None = None,
+    ) -> int:
+        """Put up to so many tasks into the bins, of the cheaper kind if patient; how many fit.
+
+        Room in a zone that may take no more of them is none.  Found by a search: replicas that
+        must be spread waited for a zone without room, while the full zone's idle room counted.
+        """
         left = count
         suits: dict[tuple[str, str, bool], bool] = {}
         for found in bins:
@@ -216,7 +254,12 @@
                 suited = allowed(spec, Machine(*found.offer, "up", 0.0))
                 suited = suits[found.offer] = suited and (found.offer[2] or not patient)
             if suited:
-                left -= found.take(spec, left)
+                zone = found.offer[1]
+                most = left if zones is None else min(left, zones.left(zone))
+                taken = found.take(spec, most)
+                if zones is not None:
+                    zones.take(zone, taken)
+                left -= taken
         return count - left
 
     def _allowance_s(self, job: Job, age_s: float) -> float:
@@ -304,9 +347,9 @@
         number = int((self._usual(True) - whole) / spec.cpus)
         return [_Lack(spec, False, number)] if number > 0 else []
 
-    def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int]]:
+    def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int, _Zones | None]]:
         """Room lacking for classes that must start before a machine could boot."""
-        lacking: list[tuple[JobSpec, int]] = []
+        lacking: list[tuple[JobSpec, int, _Zones | None]] = []
         for cls, recent in self._sizes.items():
             within = self._waits.get(cls)
             if within is None or within > 2 * self._lease_s:
@@ -324,9 +367,10 @@
                 count = sizes[len(sizes) // 2]
                 ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
-            missing = count - self._fill(spec, count, bins)
+            zones = _Zones((count + 1) // 2, Counter()) if spec.spread else None
+            missing = count - self._fill(spec, count, bins, zones=zones)
             if missing:
-                lacking.append((spec, missing))
+                lacking.append((spec, missing, zones))
         return lacking
 
     def _swing(self, recent: deque[tuple[float, JobSpec]], horizon_s: float) -> int:
@@ -343,7 +387,7 @@
         fresh: list[_Bin] = []
         fleet = Counter((m.type, m.zone, m.spot) for m in self.picture.mirror.fleet.values())
         for index, lack in enumerate(lacking):
-            count = lack.number - self._fill(lack.spec, lack.number, fresh)
+            count = lack.number - self._fill(lack.spec, lack.number, fresh, zones=lack.zones)
             while count > 0:
                 rest = [lack._replace(number=count), *lacking[index + 1 :]]
                 choice = self._cheapest(rest, wanted, fleet)
@@ -352,7 +396,7 @@
                 kind, zone, spot = choice
                 wanted[kind.name, zone, spot] += 1
                 new = _Bin(kind, zone, spot)
-                count -= self._fill(lack.spec, count, [new])
+                count -= self._fill(lack.spec, count, [new], zones=lack.zones)
                 fresh.append(new)
         return [
             Wish(t, z, s, min(_MOST_HIRED, number - done))
@@ -383,6 +427,8 @@
                     offer = (kind.name, zone, spot)
                     if spec.zone not in (None, zone):
                         continue
+                    if lack.zones is not None and not lack.zones.left(zone):
+                        continue
                     if self._refused.get(offer, 0.0) > picture.now:
                         continue
                     cost = price / max(used, 1e-6)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,7 @@
 from sandladder.eviction import Evictor
 from sandladder.lifecycle import Ended, Placement, View, end, start
 from sandladder.model import Machine, Seen
+from sandladder.provision import Provisioner
 
 
 def test_room_of_a_proved_end_is_free_before_it_is_committed() -> None:
@@ -60,3 +61,18 @@
     picture.now = picture.late_s + 1.0
     picture.tell("node-0", "vm-2", Seen("large", "south", False, 1, 0.0))
     assert Evictor(planner).moves([service]) == []
+
+
+def test_renting_knows_which_zone_may_still_take_replicas() -> None:
+    """Found by a search: the full zone's idle room was counted, and nothing rented elsewhere."""
+    picture, _, mirror, _ = scene()
+    web = accept(mirror, number=9, entries=3, form="service", apart=True, loaners=False, vcpus=4.0)
+    view = View(mirror)
+    places = [Placement(task, "vm-2", "south", 1) for task in (0, 1)]
+    start(view, web.id, places, LIMITS)
+    commit(mirror, view)
+    picture.touch("vm-2")
+    # vm-2 in the south has room for more, but two of three are there; the north has none.
+    picture.doubt("vm-1", 100.0)
+    wishes = Provisioner(picture).wishes(0.0)
+    assert {wish.zone for wish in wishes} == {"north"} and wishes[0].number == 1
