--- a/tests/world.py
+++ b/tests/world.py
@@ -1077,6 +1077,12 @@
             await anyio.sleep(max(0.0, asked + 1.0 - now()))
         return None
 
+    async def until_running(self, job_id: str, replicas: int, seconds: float = 30.0) -> None:
+        """Poll until a service is whole: a trouble that ended just now may have cost it replicas."""
+        with anyio.fail_after(seconds):
+            while (await self.poll(job_id) or {}).get("running") != replicas:
+                await anyio.sleep(1.0)
+
     async def until_done(self, ids: list[str], seconds: float) -> list[str]:
         """Poll until these jobs are over; those that are not in time."""
         end = now() + seconds
--- a/tools/search.py
+++ b/tools/search.py
@@ -15,15 +15,34 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+PARTS = ("src", "tests", "tests/membership")
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLES = ("quiet", "crashes", "outage", "cuts", "machines", "everything")
 GROWN = ("cut_zone", "wave", "slow_store")
+# Faults of one controller (tests/membership/test_faults.py), and how slow the store is with it.
+FAULTS = (
+    "ends",
+    "stands_still_for_a_moment",
+    "stands_still_past_a_lease",
+    "stands_still_past_its_hold, 0.15",
+    "is_slow",
+    "is_not_heard, 0.15",
+    "is_refused_by_all",
+    "loses_the_store",
+    "loses_the_machines",
+    "is_refused_by_the_store",
+    "two_end, 0.15",
+    "all_end",
+    "all_roll",
+    "flaps, 0.15",
+)
 DAYS = {
     "world": "from test_world import *; play_day({seed}, {trouble})",
     "upgrade": "from test_upgrade import *; play_upgrade({seed}, {trouble})",
     "pipelines": "import days; from test_pipelines import *; "
     "play_pipelines({seed}, days.{trouble})",
     "grown": "from test_world import *; play_grown({seed}, {trouble})",
+    "faults": "from test_faults import *; play_fault({seed}, {trouble})",
 }
 
 
@@ -37,7 +56,7 @@
     kinds = [
         (kind, trouble)
         for kind in ([options.only] if options.only else DAYS)
-        for trouble in (GROWN if kind == "grown" else TROUBLES)
+        for trouble in {"grown": GROWN, "faults": FAULTS}.get(kind, TROUBLES)
     ]
     days = [
         (*kind, options.first + number)
@@ -49,7 +68,8 @@
             if text is not None:
                 failed += 1
                 command = DAYS[kind].format(seed=seed, trouble=trouble)
-                repeat = f"PYTHONHASHSEED={seed} PYTHONPATH=src:tests python -c '{command}'"
+                path = os.pathsep.join(PARTS)
+                repeat = f"PYTHONHASHSEED={seed} PYTHONPATH={path} python -c '{command}'"
                 print(f"{kind} {trouble}: {text}\n    {repeat}", flush=True)
     print(f"{len(days)} days played, {failed} failed")
     return 1 if failed else 0
@@ -58,7 +78,7 @@
 def play(day: tuple[str, str, int]) -> str | None:
     """Play one day; its last words if it failed."""
     kind, trouble, seed = day
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT / "tests")])
+    path = os.pathsep.join(str(ROOT / part) for part in PARTS)
     try:
         done = subprocess.run(
             [sys.executable, "-c", DAYS[kind].format(seed=seed, trouble=trouble)],
