A controller without the state service decides nothing of the others

After an outage of the state service all doubted each other: what each had decided of the others, who said truly that they did not reach it, waited in its queue and was written when it was over. Nothing is decided now while the state service does not answer, and what had been due is timed anew. The test fails on the code before.

--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -127,6 +127,7 @@
             self.mirror,
             self.committer,
             self.hold,
+            self.state_ok,
             self.limits,
             wall,
             self._moved,
--- a/src/sandladder/membership/duty.py
+++ b/src/sandladder/membership/duty.py
@@ -39,13 +39,15 @@
         mirror: Mirror,
         committer: Committer,
         hold: Standing,
+        reaches: Callable[[], bool],
         limits: Limits,
         wall: Callable[[], float],
         moved: Callable[[], None],
         doubted: Callable[[frozenset[str]], None],
     ) -> None:
-        """`zones` of the controllers; `moved` is called when a team came to us or went, `doubted`
-        with the controllers that cannot do their part, whenever these change.
+        """`zones` of the controllers; `reaches` tells whether the state service answers us of late;
+        `moved` is called when a team came to us or went, `doubted` with the controllers that cannot
+        do their part, whenever these change.
         """
         self.steward, self.ears = steward, steward.ears
         self.node = steward.node
@@ -54,7 +56,7 @@
         self.leaving = False
         self.due = Signal()
         self._mirror, self._committer, self._hold = mirror, committer, hold
-        self._limits, self._wall, self._moved = limits, wall, moved
+        self._reaches, self._limits, self._wall, self._moved = reaches, limits, wall, moved
         self._doubted, self._doubts = doubted, frozenset[str]()
         self._under_way: set[tuple[str, str]] = set()
         self._summaries: dict[str, Summary] = {}
@@ -153,7 +155,10 @@
                 now = anyio.current_time()
                 if now - asked >= tick:  # else somebody woke us before the time
                     self.ears.woke(now - asked - tick, now)
-                own = self.own if self._hold.alive() and not self.leaving else None
+                # Nothing is decided that cannot be written.  Seen in a measured day: what each
+                # had decided of the others in an outage was written when it was over.
+                may = self._hold.alive() and self._reaches() and not self.leaving
+                own = self.own if may else None
                 acts = self.steward.step(now, self._wall(), own)
                 self._tell_doubts()
                 for act in acts:
--- a/src/sandladder/membership/steward.py
+++ b/src/sandladder/membership/steward.py
@@ -77,6 +77,7 @@
             self._placers, self._moved_at = dict(self._mirror.placers), now
         if own is None or self._mirror.form == PLAIN or ROSTER in self._mirror.unreadable:
             self._well_since = None
+            self._due.clear()
             return []
         if self._well_since is None:
             self._well_since = now
--- a/tests/membership/test_faults.py
+++ b/tests/membership/test_faults.py
@@ -194,6 +194,27 @@
     assert moved["red"] <= own and moved["blue"] <= other, moved
 
 
+def test_an_outage_of_the_store_has_nobody_doubted() -> None:
+    """Seen in a measured day: what each had decided of the others was written when it was over."""
+    world = World(351)
+
+    async def main() -> None:
+        await warm(world)
+        await anyio.sleep(6.0)
+        began = now()
+        for seconds in (2.0, 5.0, 15.0):
+            world.store.outage(True)
+            await anyio.sleep(seconds)
+            world.store.outage(False)
+            await anyio.sleep(10.0)
+        assert [
+            at for at, key, _ in world.store.history if key == "s/m/roster" and at > began
+        ] == []
+
+    run(world, main)
+    assert world.broken == []
+
+
 def test_one_that_knows_it_goes_hands_its_team_over_first() -> None:
     world = World(350)
 
