Workers are kept on only by what is known of cancellations

Cause: a controller answered reports for as long as its hold lived, two leases. Refused by the state service alone it did not learn of what others cancelled, and in the outage that followed it kept the leases of those tasks to hold + lease, 54 s of a cancel_s of 48 s.

Change: a fence by knowledge (fence.py). A report is answered only while the newest moment up to which all confirmed cancellations are known is less than cancel_s - lease_s ago, less drift and a step. That moment is when the newest reading was sent; in an outage the others' beats carry it on: they name the cancelled jobs that they know, and echo our stamp. Tasks named so are stopped at once, with every answer, also where the machine is not ours to tell more. A start that had no answer bounds the moment for its machine.

--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -12,6 +12,7 @@
 from sandladder.cloud import CloudClient, Renter
 from sandladder.delivery import Delivery
 from sandladder.eviction import Evictor, Victim
+from sandladder.fence import Fence
 from sandladder.following import Following
 from sandladder.hold import Hold
 from sandladder.http import Client, Connect, Server
@@ -80,6 +81,8 @@
         self.loss = LossProof(
             self.node, self.nodes, self.lease_s, anyio.current_time(), self.process
         )
+        peers = [name for name in self.nodes if name != self.node]
+        self.fence = Fence(self.node, peers, self.process, workers)
         self.limits = Limits(deployment.state, self.mirror)
         self.gate = Gate()
         self.picture = Picture(settings, self.mirror, self.delivery, self.loss, self.gate)
@@ -114,7 +117,7 @@
         self.renter = Renter(self)
         ears = Ears(
             self.node,
-            [name for name in self.nodes if name != self.node],
+            peers,
             self.beat_s,
             self.report_s,
             self.picture.summary_s,
@@ -201,6 +204,8 @@
 
     def _synced(self, sent: float) -> None:
         self.loss.synced(sent, self.mirror.revision)
+        self.mirror.synced(sent)
+        self.fence.read(sent)
 
     def _changed(self, keys: dict[str, None]) -> None:
         """The records changed: check the premises that this reaches, and deliver."""
--- a/src/sandladder/delivery.py
+++ b/src/sandladder/delivery.py
@@ -4,6 +4,7 @@
 says what is, and the difference is the orders.  Pure: no I/O, no clock.
 """
 
+import math
 from typing import NamedTuple
 
 from sandladder.lifecycle import Ended
@@ -34,6 +35,8 @@
         self.tainted: int | None = None
         # A start went out in an answer that the machine may not have taken yet.
         self.start_in_answer = False
+        # What was known of cancellations when a start was sent that may still arrive.
+        self.unsure = math.inf
         self.sending = False  # a direct command is under way
         self.failed: set[str] = set()  # jobs that failed here since one succeeded
         self.blamed: set[Key] = set()
@@ -47,6 +50,12 @@
         """Whether no start of ours can still be on its way."""
         return self.tainted is None and not self.start_in_answer and not self.sending
 
+    def cleared(self) -> None:
+        """No start that was sent directly before can arrive any more."""
+        self.tainted = None
+        if not self.sending:
+            self.unsure = math.inf
+
 
 class Heard(NamedTuple):
     """What became of a report."""
@@ -85,7 +94,7 @@
             dialogue.blamed = set()
             dialogue.failed = set()
             # An earlier session's commands are refused by the machine itself.
-            dialogue.tainted = None
+            dialogue.cleared()
         dialogue.report = report
         dialogue.heard_at = now
         if not direct:
@@ -101,7 +110,7 @@
             dialogue.obeys, dialogue.synced = True, False
             dialogue.epoch += 1
         if dialogue.tainted is not None and report.token > dialogue.tainted:
-            dialogue.tainted = None
+            dialogue.cleared()
         self._blame(dialogue)
         return Heard(dialogue, True)
 
@@ -128,6 +137,20 @@
         for machine in [m for m, d in self.machines.items() if now - d.heard_at > after_s]:
             del self.machines[machine]
 
+    def answer(self, dialogue: Dialogue, mirror: Mirror) -> list[Command]:
+        """What the answer to the latest report tells the machine.
+
+        Its lease goes on with that, so whatever runs there of a cancelled job is stopped with it,
+        whether or not the machine is ours to tell more: stopping that can never be wrong.
+        """
+        if dialogue.obeys and dialogue.synced:
+            return self.orders(dialogue, mirror)
+        return [
+            Command("stop", *key)
+            for key, entry in dialogue.entries.items()
+            if entry.state != "exited" and mirror.cancels(entry.job)
+        ]
+
     def orders(self, dialogue: Dialogue, mirror: Mirror) -> list[Command]:
         """What the machine should be told; nothing until it is surely ours to tell."""
         if not (dialogue.obeys and dialogue.synced):
@@ -144,7 +167,7 @@
             if JOB + job.id in mirror.unreadable:
                 continue  # what is to become of it cannot be told
             entry = dialogue.entries.get(key)
-            grace = _grace(job, attempt)
+            grace = _grace(job, attempt, mirror)
             if entry is None:
                 # An attempt seen before and gone now was forgotten by order of somebody
                 # who had its end committed: starting it again would run it twice.
@@ -199,13 +222,13 @@
                 key in stopped
                 and key not in dialogue.entries
                 and attempt.session == dialogue.session
-                and _grace(job, attempt) is not None
+                and _grace(job, attempt, mirror) is not None
             ):
                 found.append(Ended(job.id, task, attempt, "never"))
         return found
 
 
-def _grace(job: Job, attempt: Attempt) -> float | None:
+def _grace(job: Job, attempt: Attempt, mirror: Mirror) -> float | None:
     """With how much grace this attempt is to be stopped, or None to let it run."""
     # What a cancelled job's tasks do is of no use to anyone.
-    return 0.0 if job.cancelled else attempt.stop
+    return 0.0 if mirror.cancels(job.id) else attempt.stop
--- a/src/sandladder/mesh.py
+++ b/src/sandladder/mesh.py
@@ -13,6 +13,7 @@
 import msgspec
 from anyio.abc import SocketStream
 
+from sandladder.fence import Stamp
 from sandladder.model import Seen
 from sandladder.records import PLAIN
 from sandladder.settings import Peer, split_addr
@@ -32,6 +33,10 @@
     `term` on they are what `membership` goes by: the term with which the sender's process
     entered and its term now, how late its timers are, how many machines report to it, whether it
     is about to go, and by peer for how long it has not heard it and whether that refuses it.
+
+    From `process` on they are what `fence` goes by: the process, a moment on its steady clock, the
+    latest such moment that it heard of each peer, the cancelled jobs that it knows, which are
+    committed, and whether these are all.
     """
 
     node: str
@@ -44,6 +49,11 @@
     machines: int | None = None
     leaving: bool = False
     heard: dict[str, tuple[float, bool]] = {}
+    process: int = 0
+    stamp: float = 0.0
+    echoes: dict[str, Stamp] = {}
+    cancelled: list[str] = []
+    whole: bool = False
 
 
 class Poke(msgspec.Struct, tag="poke", array_like=True):
--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -2,12 +2,13 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import msgspec
 
 from sandladder.model import (
+    CANCELLED,
     Attempt,
     Final,
     Job,
@@ -80,6 +81,10 @@
         self.unfiled: dict[str, Final] = {}  # finished jobs whose record is in the job's place
         # Records that make no sense to us: what rests on them is not done.
         self.unreadable: set[str] = set()
+        # Live jobs that are cancelled, and those of which a peer has said so since we last read
+        # the state service, with when: good enough for stopping, and for nothing else.
+        self.cancelled: dict[str, None] = {}
+        self._told: dict[str, float] = {}
         # Machines whose committed starts changed, and tasks that were started or done, since
         # somebody last asked.
         self.touched: dict[str, None] = {}
@@ -282,6 +287,24 @@
         if len(self.finals) > FINALS_KEPT:
             self.finals.popitem(last=False)
 
+    def cancels(self, job_id: str) -> bool:
+        """Whether a job is surely cancelled, so that what runs of it is to be stopped."""
+        if job_id in self.cancelled or job_id in self._told:
+            return True
+        final = self.final(job_id)
+        return final is not None and final.state == CANCELLED
+
+    def tell(self, job_ids: Iterable[str], now: float) -> list[str]:
+        """A peer has read or committed that these jobs are cancelled; those that are news."""
+        news = [job_id for job_id in job_ids if not self.cancels(job_id)]
+        self._told |= dict.fromkeys(news, now)
+        return news
+
+    def synced(self, sent: float) -> None:
+        """All that was committed before then is in: what was told before is known."""
+        if self._told:
+            self._told = {job_id: at for job_id, at in self._told.items() if at >= sent}
+
     def _set_part(self, node: str, index: int, value: Any) -> None:
         parts = self._parts.setdefault(node, {})
         if value is None:
@@ -312,6 +335,9 @@
             after = job.live
             if old is not None and job.cancelled != old.cancelled:
                 self.touched |= {attempt.machine: None for attempt in after.values()}
+        self.cancelled.pop(job_id, None)
+        if job is not None and job.cancelled:
+            self.cancelled[job_id] = None
         self._index(job_id, old, job)
         for task, attempt in before.items():
             if after.get(task) == attempt:
--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -6,6 +6,7 @@
 import anyio
 
 from sandladder import mesh, wire
+from sandladder.fence import Stamp
 from sandladder.http import Request, Response
 from sandladder.lifecycle import Ended, may_place
 from sandladder.membership.grading import Word
@@ -18,6 +19,9 @@
 log = logging.getLogger(__name__)
 
 
+# Cancelled jobs that one beat names at the most, the latest; few are ever live.
+_NAMED = 256
+
 # What is answered when a request cannot be taken: come back soon.
 BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
 
@@ -111,8 +115,21 @@
             machines=None if self._c.workers.deaf(now) else self._c.workers.count,
             leaving=membership.leaving,
             heard=membership.ears.silences(now),
+            process=self._c.process,
+            stamp=now,
+            echoes=self._c.fence.echoes,
+            cancelled=list(self._c.mirror.cancelled)[-_NAMED:],
+            whole=len(self._c.mirror.cancelled) <= _NAMED,
         )
 
+    def tell_cancelled(self) -> None:
+        """A job was cancelled here: the others hear of it before its user does.
+
+        Whoever commands its tasks may be refused by the state service, and stops them on our word.
+        """
+        for link in self.links.values():
+            link.nudge()
+
     def _share_writes(self) -> None:
         """Divide the store's write rate by what each controller has waiting."""
         now = anyio.current_time()
@@ -135,8 +152,11 @@
         if isinstance(message, mesh.Beat):
             link = self.links.get(message.node)
             if link is not None:
-                link.heard_at = anyio.current_time()
+                now = link.heard_at = anyio.current_time()
                 link.demand, link.form = message.demand, message.form
+                stamp = Stamp(message.process, message.stamp)
+                self._c.fence.heard(message.node, stamp, message.echoes, message.whole, now)
+                self._c.workers.stop_cancelled(message.cancelled)
                 word = Word(
                     term=message.term,
                     token=message.token,
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -69,6 +69,14 @@
     gang_wait_s: float = 40.0
     gang_peer_s: float = 5.0
 
+    @property
+    def knowledge_s(self) -> float:
+        """How old a controller's knowledge of cancellations may be when it answers a report.
+
+        Less the drift of two clocks and the step in which a worker notices its lease's end.
+        """
+        return 0.998 * self.cancel_s - self.lease_s - self.report_s / 4
+
 
 class NextState(msgspec.Struct, frozen=True):
     """Limits that the state service will have some day; what is absent stays as it is."""
@@ -241,6 +249,12 @@
         for name in names:
             if (value := getattr(group, name, None)) is not None:
                 _positive(f"deployment.{section}.{name}", value)
+    if d.workers.knowledge_s < d.workers.report_s / 2:
+        # Nobody could answer a worker: it might run what was cancelled since, for too long.
+        raise SettingsError(
+            "deployment.workers.cancel_s: leaves no time beyond deployment.workers.lease_s to "
+            "learn of a cancellation: must be more than lease_s and three quarters of report_s"
+        )
     for name, limits in (("state", d.state), ("state.next", d.state.next)):
         if limits is None:
             continue
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -279,5 +279,6 @@
             if found is None or found.state not in (DONE, CANCELLED):
                 return BUSY
             return Response(200, wire.job_status(job_id, found.state))
+        self._c.peers.tell_cancelled()
         self._c.peers.poke(clerks)
         return Response(200, wire.job_status(job_id, CANCELLED))
--- a/src/sandladder/workers.py
+++ b/src/sandladder/workers.py
@@ -42,6 +42,7 @@
         self._reported_at = math.inf  # when the last one did
         self._had = 0  # how many there were then
         self._spread = Spread(controller.node, controller.report_s, controller.lease_s)
+        self._closed = False  # the fence, when last looked at
         self._clients: dict[str, tuple[str, Requester]] = {}
 
     async def report(self, request: Request) -> Response:
@@ -49,7 +50,7 @@
             report = wire.parse_report(wire.loads(request.body))
         except wire.Malformed as error:
             return Response(400, wire.error_body(str(error)))
-        if not self._c.hold.alive():
+        if not self._c.hold.alive() or self._fenced():
             return Response(421, wire.redirect_body(self._c.peers.abler()))
         if not self._c.state_ok() and (peer := self._c.peers.abler()):
             # We cannot learn what to tell the machine any more, and a peer can.
@@ -67,16 +68,40 @@
             return Response(503, wire.error_body("a newer report is known"))
         if before != _state_of(dialogue):
             self._tell_peers(dialogue)
-        commands = self._c.delivery.orders(dialogue, self._c.mirror)
+        commands = self._c.delivery.answer(dialogue, self._c.mirror)
         if dialogue.sending:
             commands = [c for c in commands if c.op != "start"]
-        if not self._c.hold.alive():
+        # The report was sent before now, and its lease counts from then: from here on the answer
+        # may be held up, or we may stand still, for as long as it takes.
+        now = anyio.current_time()
+        if not self._c.hold.alive() or not self._c.fence.open(now, dialogue.unsure):
             return Response(421, wire.redirect_body(None))
         if any(c.op == "start" for c in commands):
             dialogue.start_in_answer = True
-        self._c.loss.answered(report.machine, anyio.current_time())
+        self._c.loss.answered(report.machine, now)
         return Response(200, wire.dumps(wire.commands_value(self._c.delivery.term, commands)))
 
+    def _fenced(self) -> bool:
+        """Whether no worker may be kept on: what was cancelled of late is not surely known."""
+        now = anyio.current_time()
+        closed = not self._c.fence.open(now)
+        if closed != self._closed:
+            self._closed = closed
+            said = "are not kept on" if closed else "are kept on again"
+            log.warning("workers %s: %s", said, self._c.fence.reason(now))
+        return closed
+
+    def stop_cancelled(self, job_ids: list[str]) -> None:
+        """A peer names cancelled jobs, each committed: what runs of them is stopped at once."""
+        mirror = self._c.mirror
+        for job_id in mirror.tell(job_ids, anyio.current_time()):
+            job = mirror.jobs.get(job_id)
+            attempts = job.live.values() if job is not None else ()
+            for machine in dict.fromkeys(attempt.machine for attempt in attempts):
+                dialogue = self._c.delivery.machines.get(machine)
+                if dialogue is not None:
+                    self.push(dialogue)
+
     def deaf(self, now: float) -> bool:
         """Whether no machine reaches us any more, of several that did: it is we who are cut off.
 
@@ -167,6 +192,8 @@
         body = wire.commands_value(term, commands) | {"shift": report.session}
         client = self._client(report.machine, report.addr)
         starts = any(c.op == "start" for c in commands)
+        if starts:
+            dialogue.unsure = min(dialogue.unsure, self._c.fence.known_at())
         try:
             answer = await client.request(
                 "POST", wire.COMMANDS, wire.dumps(body), timeout=self._c.report_s
@@ -183,6 +210,8 @@
             return False
         sent = {(c.job, c.task, c.attempt) for c in commands if c.op == "stop"}
         self._hear(fresh, direct=True)
+        if dialogue.tainted is None:
+            dialogue.unsure = math.inf
         if answer.status != 200:
             if fresh.token > term:
                 self._c.delivery.lost_touch(report.machine)
--- a/tests/world.py
+++ b/tests/world.py
@@ -38,6 +38,7 @@
 
 
 WRITE_RPS = 30.0
+CANCEL_S = 36.0  # what a cancellation has, unless the world is told otherwise
 TODAY = production.Version(control=control, http=http, mesh=mesh, settings=settings_module)
 # What the state service takes some time after an upgrade.
 NEXT = {"write_rps": 20.0, "value_kb": 2.0, "txn_ops": 4}
@@ -147,7 +148,12 @@
 
 
 def settings(
-    index: int = 0, count: int = 3, grown: bool = False, version: Any = TODAY, **state: Any
+    index: int = 0,
+    count: int = 3,
+    grown: bool = False,
+    version: Any = TODAY,
+    cancel_s: float = CANCEL_S,
+    **state: Any,
 ) -> Settings:
     """Settings of one of the world's controllers; grown: ten times the teams, small values."""
     names = [f"node-{i}" for i in range(count)]
@@ -165,7 +171,7 @@
             "workers": {
                 "report_s": 2.0,
                 "lease_s": 12.0,
-                "cancel_s": 36.0,
+                "cancel_s": cancel_s,
                 "gang_wait_s": 30.0,
                 "gang_peer_s": 4.0,
             },
@@ -391,6 +397,7 @@
         self.lease_ids = itertools.count(1)
         self.down = False
         self.refuses: set[str] = set()
+        self.late: dict[str, float] = {}  # how late a controller's transactions are answered
         self.slow_s = 0.0
         self.largest = 0
         self.history: list[tuple[float, str, Any]] = []
@@ -436,6 +443,8 @@
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         body = cbor2.loads(request.body) if request.body else {}
         status, answer = self._answer(request.method, url.path, query, body)
+        if source in self.late and url.path == "/commit":
+            await anyio.sleep(self.late[source])
         return Response(status, cbor2.dumps(answer))
 
     def _answer(
@@ -522,7 +531,7 @@
         self.spec = world.specs[name.partition("/")[0]]
         self.name, self.attempt = name, attempt
         self.state, self.cause, self.saved = "fetching", "", False
-        self.ready_at = now() + 0.5
+        self.ready_at = now() + 0.5 * self.spec["image_gb"]
         self.left = 0.0 if name in world.done else world.run_s(self.spec) - world.saved.get(name, 0)
         self.flushed_at = 0.0
         self.waits_since = 0.0
@@ -821,10 +830,17 @@
     """Everything together, with the rules."""
 
     def __init__(
-        self, seed: int, count: int = 3, grown: bool = False, old: bool = False, **state: Any
+        self,
+        seed: int,
+        count: int = 3,
+        grown: bool = False,
+        old: bool = False,
+        cancel_s: float = CANCEL_S,
+        **state: Any,
     ) -> None:
         self.rng = Random(seed)
         self.count = count
+        self.cancel_s = cancel_s
         self.grown = grown
         self.network = Network(self.rng)
         self.store = Store(self)
@@ -874,7 +890,8 @@
                     return
                 version = self.versions[index]
                 node = controller(version)(
-                    self, settings(index, self.count, self.grown, version, **self.state)
+                    self,
+                    settings(index, self.count, self.grown, version, self.cancel_s, **self.state),
                 )
                 self.nodes[node.node] = node
 
@@ -997,7 +1014,7 @@
             gpus[spec["bureau"]] += spec["gpus"]
             for name in (spec["id"], *self.needed(spec["id"])):
                 told = self.cancelled_at.get(name)
-                if told is not None and now() - told > 36.0:
+                if told is not None and now() - told > self.cancel_s:
                     self.breaks("ran_cancelled", task.name)
         for team in teams(self.grown):
             if used[team["name"]] > team["cpus_max"] or gpus[team["name"]] > team.get(
@@ -1047,7 +1064,7 @@
         self._final(job_id, body["standing"])
         if body["standing"] in ("pending", "running"):
             for name in self.needed(job_id):
-                if asked - self.cancelled_at.get(name, asked) > 36.0:
+                if asked - self.cancelled_at.get(name, asked) > self.cancel_s:
                     self.breaks("orphaned", f"{job_id} after {name}")
         return body
 
