KNOWN-RED.txt: at most three listed tests may fail, and must

A listed test runs as a strict expected failure: it is printed and passed over while it fails, and fails the run once it passes. Unknown ids, further lines and other shapes end the run. The file does not exist.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,40 @@
+"""What `KNOWN-RED.txt` lets pass, and what it does not."""
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+RED, GREEN = "tests/test_it.py::test_red", "tests/test_it.py::test_green"
+TESTS = "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
+
+
+@pytest.mark.parametrize(
+    ("lines", "status", "says"),
+    [
+        ([], 1, "1 failed, 1 passed"),
+        ([f"{RED} | a fault | 29"], 0, f"KNOWN RED {RED}: a fault (issue 29)"),
+        ([f"{RED} | a fault | 29", f"{GREEN} | none | 29"], 1, "[XPASS(strict)] none (issue 29)"),
+        ([f"{RED} | a fault | 29", "tests/test_it.py::gone | a | 1"], 4, "no such test"),
+        ([f"{RED} | a fault"], 4, "not `test id | cause | issue`"),
+        ([f"{RED}{n} | a | 1" for n in range(4)], 4, "4 lines, 3 at most"),
+    ],
+)
+def test_only_what_is_listed_may_fail(
+    tmp_path: Path, lines: list[str], status: int, says: str
+) -> None:
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
+    (tmp_path / "tests" / "test_it.py").write_text(TESTS)
+    shutil.copy(Path(__file__).with_name("conftest.py"), tmp_path / "tests")
+    (tmp_path / "KNOWN-RED.txt").write_text("\n".join(lines))
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert (done.returncode, says in done.stdout + done.stderr) == (status, True), done.stdout
