--- a/src/sandladder/reservation.py
+++ b/src/sandladder/reservation.py
@@ -39,6 +39,7 @@
         self.job: str | None = None
         self.machines: frozenset[str] = frozenset()
         self._until = 0.0
+        self._failed: dict[str, float] = {}  # jobs that no machines could hold, until when
 
     def aged(self, job: Job) -> bool:
         """Whether a job has waited long, has not begun, and fits only where room is gathered."""
@@ -62,7 +63,13 @@
             self.job, self.machines = None, frozenset()
 
     def make(self, job: Job) -> bool:
-        """Hold the machines on which a job that found no room would soonest fit as a whole."""
+        """Hold the machines on which a job that found no room would soonest fit as a whole.
+
+        Whether there are such machines is looked for once in a report interval.
+        """
+        now = self._picture.now
+        if self._failed.get(job.id, now) > now:
+            return False
         need = job.waiting if job.spec.kind == GANG else 1
         spec = job.spec
         places = sorted(self._places(spec))
@@ -70,11 +77,14 @@
         choices = [self._choose(spec, places, need, zone) for zone in zones]
         found = [choice for choice in choices if choice is not None]
         if not found:
-            return False  # no machines for it: that is the renter's to mend
+            # No machines for it: that is the renter's to mend.
+            self._failed = {name: until for name, until in self._failed.items() if until > now}
+            self._failed[job.id] = now + self._again_s
+            return False
         chosen = min(found, key=lambda choice: sum(place.taken for place in choice))
         self.job = job.id
         self.machines = frozenset(place.machine for place in chosen)
-        self._until = self._picture.now + self._again_s
+        self._until = now + self._again_s
         return True
 
     def _places(self, spec: JobSpec) -> list[_Place]:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,8 +6,8 @@
 import anyio
 import pytest
 
-from meeting import CANCEL_S, LEASE, Meeting, day, leader, restart, up
-from world import World, now, run
+from meeting import CANCEL_S, LEASE, Meeting, cancel_now, day, leader, restart, up
+from world import ZONES, World, now, run
 
 
 async def ends_far_apart(world: World) -> None:
@@ -134,6 +134,89 @@
         world.network.heal()
 
 
+async def answers_lost(world: World) -> None:
+    """Transactions are carried out at once and only their answers are lost, while leaders end."""
+    world.store.late_writes, world.store.at_once = 0.25, True
+    for _ in range(3):
+        await anyio.sleep(world.rng.uniform(3.0, 6.0))
+        await restart(world, leader(world), world.rng.uniform(0.1, 2.0))
+    world.store.late_writes, world.store.at_once = 0.0, False
+
+
+async def mute_machines(world: World) -> None:
+    """Half of the machines reach no controller while what runs there is called off."""
+    for _ in range(2):
+        await anyio.sleep(world.rng.uniform(3.0, 6.0))
+        for worker in world.rng.sample(up(world), len(up(world)) // 2):
+            worker.mute_until = now() + world.rng.uniform(5.0, 2 * LEASE)
+        await cancel_now(world, 2)
+        await restart(world, leader(world), world.rng.uniform(0.3, 4.0))
+        await anyio.sleep(world.rng.uniform(4.0, LEASE))
+
+
+async def kept_reports(world: World) -> None:
+    """Old reports reach every controller just as a new leader begins."""
+    for _ in range(3):
+        world.keep_copies = 0.4
+        await anyio.sleep(world.rng.uniform(3.0, 6.0))
+        world.keep_copies = 0.0
+        await restart(world, leader(world), world.rng.uniform(0.1, 1.0))
+        await anyio.sleep(world.rng.uniform(0.3, 1.0))
+        world.release_copies()
+        await anyio.sleep(world.rng.uniform(1.0, 4.0))
+
+
+async def called_off_hanging(world: World) -> None:
+    """Jobs are called off, their machines hang, some within their lease, and the leader ends."""
+    for _ in range(3):
+        await anyio.sleep(world.rng.uniform(3.0, 6.0))
+        await cancel_now(world, 3, world.rng.uniform(4.0, LEASE + 4.0))
+        await anyio.sleep(world.rng.uniform(0.0, 0.5))
+        await restart(world, leader(world), world.rng.uniform(0.3, 3.0))
+
+
+async def looked_at(world: World) -> None:
+    """Users look closely at what is accepted, ends or is cancelled."""
+    world.close_looks = 0.7
+    await anyio.sleep(25.0)
+    world.close_looks = 0.0
+
+
+async def called_off_at_end(world: World) -> None:
+    """Jobs are called off as their last task ends."""
+    world.cancel_at_end = 0.4
+    await anyio.sleep(25.0)
+    world.cancel_at_end = 0.0
+
+
+async def machines_at_once(world: World) -> None:
+    """Machines go, and those that take their place are up at once and get work."""
+    world.cloud.quick = 1.0
+    for _ in range(3):
+        for worker in up(world)[::2]:
+            worker.vanish(world.rng.random() < 0.5)
+        await anyio.sleep(world.rng.uniform(4.0, 8.0))
+        young = [w for w in up(world) if w.tasks and now() - w.boots_at < 8.0]
+        world.met["work on machines just up"] += len(young)
+        await restart(world, leader(world), world.rng.uniform(0.3, 2.0))
+    world.cloud.quick = 0.0
+
+
+async def zone_alone(world: World) -> None:
+    """A zone with workers and a controller is cut off from everything else."""
+    await anyio.sleep(4.0)
+    hosts = ["state", "cloud", "user", *(f"node-{i}" for i in range(world.count))]
+    inside = [w.name for w in up(world) if w.zone == ZONES[1]] + ["node-1"]
+    for one in inside:
+        for other in [*hosts, *(w.name for w in up(world))]:
+            if other not in inside:
+                world.network.cut(one, other, world.rng.choice(["hold", "drop"]))
+    there = [w for w, _ in world.present() if w.name in inside]
+    world.met["work in a cut zone"] += len(there)
+    await anyio.sleep(LEASE + world.rng.uniform(2.0, 8.0))
+    world.network.heal()
+
+
 # Each with what shows that it was on.
 MEETINGS: dict[Meeting, tuple[str, ...]] = {
     ends_far_apart: ("end proved, not committed",),
@@ -144,6 +227,14 @@
     over_and_back: ("all ended",),
     alone: ("work reported to it",),
     held_up: ("late command",),
+    answers_lost: ("read by others while its writer did not know",),
+    mute_machines: ("mute",),
+    kept_reports: ("old report at every controller",),
+    called_off_hanging: ("hung with cancelled work",),
+    looked_at: ("looked at when accepted", "looked at when done"),
+    called_off_at_end: ("cancelled at its end",),
+    machines_at_once: ("work on machines just up",),
+    zone_alone: ("work in a cut zone",),
 }
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,13 +1,15 @@
 """Which machine for a task, and which tasks make room or move."""
 
+from collections import Counter
 from typing import Any
 
 from helpers import LIMITS, accept, commit, scene
 from sandladder.eviction import Evictor
 from sandladder.lifecycle import Ended, Placement, View, end, start
-from sandladder.model import Machine, Report, Seen
+from sandladder.model import JobSpec, Machine, Report, Seen
 from sandladder.picture import Picture
 from sandladder.provision import Provisioner
+from sandladder.reservation import Reservation
 from sandladder.settings import TeamLimits
 
 
@@ -147,3 +149,28 @@
         assert planner.plan([gang], {}) == []
         assert planner.reservation.aged(gang)
         assert planner.reservation.job is None
+
+
+def test_machines_for_a_reservation_are_looked_for_once_in_a_report_interval(monkeypatch) -> None:
+    """However many gangs wait for machines that are not there, and however often it is planned."""
+    looked: Counter[str] = Counter()
+    places = Reservation._places
+
+    def counted(self: Reservation, spec: JobSpec) -> Any:
+        looked[spec.id] += 1
+        return places(self, spec)
+
+    monkeypatch.setattr(Reservation, "_places", counted)
+    picture, planner, mirror, _ = scene()
+    wide: dict[str, Any] = {"entries": 20, "vcpus": 2.0, "ram_gb": 1.0, "form": "group"}
+    gangs = [accept(mirror, number=number, **wide) for number in range(5)]
+    report_s = picture.settings.platform.deployment.workers.report_s
+    began = picture.now = 1000.0
+    seq = 2
+    while picture.now < began + 10 * report_s:
+        hear_again(picture, seq)
+        planner.plan(gangs, {})
+        picture.now += report_s / 32
+        seq += 1
+    assert len(looked) == 5
+    assert max(looked.values()) <= 11
--- a/tools/search.py
+++ b/tools/search.py
@@ -46,6 +46,14 @@
     "over_and_back",
     "alone",
     "held_up",
+    "answers_lost",
+    "mute_machines",
+    "kept_reports",
+    "called_off_hanging",
+    "looked_at",
+    "called_off_at_end",
+    "machines_at_once",
+    "zone_alone",
 )
 # Any two of them at once (tests/test_meetings.py).
 PAIRS = tuple(", ".join(pair) for pair in itertools.combinations(MEETINGS, 2))
