--- a/tests/test_cancelled.py
+++ b/tests/test_cancelled.py
@@ -259,9 +259,10 @@
     tasks = sum(spec["entries"] for spec in specs)
     await until(lambda: len(running(world)) == tasks, 150.0, 0.2)
     for team in teams if waiting else []:
-        for _ in range(4):
+        # So much that the last of the limit is contended for as others take over.
+        for _ in range(10):
             specs.append(
-                job(len(specs), bureau=team, vcpus=2.0, ram_gb=2.0, entries=1, expect_s=6.0)
+                job(len(specs), bureau=team, vcpus=2.0, ram_gb=2.0, entries=1, expect_s=3.0)
             )
             assert await world.submit(specs[-1]) == 201
     return [spec["id"] for spec in specs]
@@ -308,7 +309,9 @@
                 for node in range(world.count):
                     world.network.cut(name, f"node-{node}", world.rng.choice(["drop", "hold"]))
             else:
-                seconds = LEASE - 3.0 if way == "hang and go on" else 2 * LEASE
+                # One that hangs for much longer than a third of its lease is returned meanwhile.
+                soon = world.rng.uniform(2.5, 5.0)
+                seconds = soon if way == "hang and go on" else 2 * LEASE
                 world.cloud.workers[name].hung_until = now() + seconds
         # Some of each of these teams, so that there is room once their ends are proved.
         chosen = [
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -48,7 +48,14 @@
             world.store.late = {f"node-{i}": 0.8 for i in range(world.count)}
         else:
             world.store.late_writes, world.store.at_once = 0.25, lag == "answers lost"
-        for _ in range(3):
+        for number in range(3):
+            # By then all have been up for long, so that their silence says something.
+            await anyio.sleep(2 * LEASE)
+            # One of the others hears nobody: it learns of new machines from the store alone.
+            first = leader(world)
+            deaf = [i for i in range(world.count) if i != first][number % 2]
+            for other in range(world.count):
+                world.network.one_way[f"node-{other}", f"node-{deaf}"] = "drop"
             # What runs now is lost, so that machines are rented anew.
             for worker in up(world)[::2]:
                 worker.vanish(True)
@@ -56,13 +63,15 @@
                 await until(lambda: young() > 0, 25.0)
             index = renter(world) if who == "renter" else leader(world)
             world.met["a leader ended as new machines had work"] += young()
+            await anyio.sleep(world.rng.uniform(0.0, 2.0))
             await restart(world, leader(world) if index is None else index, 1.0)
             await anyio.sleep(3.0)
+            world.network.one_way.clear()
         world.store.late, world.store.late_writes, world.store.at_once = {}, 0.0, False
 
     play(
         world,
-        lambda: day(world, (meeting,), 16, burst, cancels=0.15),
+        lambda: day(world, (meeting,), 100, burst, cancels=0.15, every_s=(0.6, 1.4)),
         "a leader ended as new machines had work",
     )
 
