--- a/src/sandladder/peers.py
+++ b/src/sandladder/peers.py
@@ -22,6 +22,9 @@
 # Cancelled jobs that one beat names at the most, the latest; few are ever live.
 _NAMED = 256
 
+# How many bits of a request's number count the requests; the rest tell the process.
+_ASKS_BITS = 20
+
 # What is answered when a request cannot be taken: come back soon.
 BUSY = Response(503, wire.error_body("cannot be taken now"), 1)
 
@@ -43,7 +46,10 @@
             peer.node_name: mesh.Link(peer, controller.beat_s, self._link_changed)
             for peer in controller.settings.platform.peers
         }
-        self._asks = 0
+        # Numbers that no former process of this controller gave: a peer may answer what that one
+        # asked when we stand in its place.  Seen in the stand-in world: a user was told of one
+        # job what another had come to.
+        self._asks = controller.process << _ASKS_BITS
         self._asked: dict[int, Asked] = {}
 
     def _link_changed(self, node: str, refused: bool) -> None:
--- a/src/sandladder/users.py
+++ b/src/sandladder/users.py
@@ -204,7 +204,9 @@
             found = await self._lookup(job_id)
             return BUSY if found is None else self._state_answer(job_id, found)
         self._c.peers.poke({self._c.peers.owner(spec.team)})
-        return Response(201, wire.job_status(job_id, "pending"))
+        # Another node may have told more already, from the same commit: no less is said here.
+        found = self._c.mirror.jobs.get(job_id) or self._c.mirror.final(job_id)
+        return self._state_answer(job_id, found)._replace(status=201)
 
     async def _needs(self, spec: JobSpec, awaits: tuple[str, ...]) -> tuple[Needs, str | None]:
         """What a submission names, as of now, and why it cannot be accepted, if so."""
@@ -260,7 +262,7 @@
         if isinstance(found, Final):
             return Response(200, wire.job_status(job_id, found.state))
         if self._standing(found) == CANCELLED:
-            return Response(200, wire.job_status(job_id, CANCELLED))
+            return self._cancelled(job_id)
 
         def apply(view: View) -> bool:
             cancel(view, job_id, self._c.wall())
@@ -278,7 +280,16 @@
             found = await self._lookup(job_id)
             if found is None or found.state not in (DONE, CANCELLED):
                 return BUSY
-            return Response(200, wire.job_status(job_id, found.state))
-        self._c.peers.tell_cancelled()
+            if found.state == DONE:
+                return Response(200, wire.job_status(job_id, DONE))
         self._c.peers.poke(clerks)
+        return self._cancelled(job_id)
+
+    def _cancelled(self, job_id: str) -> Response:
+        """Tell a user that a job is cancelled, and the other controllers first.
+
+        Also where somebody else's commit, or one of ours whose answer was lost, did it.
+        """
+        if job_id in self._c.mirror.cancelled:
+            self._c.peers.tell_cancelled()
         return Response(200, wire.job_status(job_id, CANCELLED))
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,325 @@
+"""What users are told: at every node, in real order, whatever they ask and when.
+
+The answers are held against each other in `answers.py`; the meetings are told in `docs/meetings.md`.
+"""
+
+from typing import Any
+
+import anyio
+import cbor2
+import pytest
+
+from answers import REQUIRED
+from days import pipeline, warm
+from meeting import CANCEL_S, Meeting, day, leader, play, restart, running, settle, until
+from sandladder import mesh
+from world import World, job, now
+
+
+async def calm(world: World) -> None:
+    await anyio.sleep(20.0)
+
+
+async def leaders_end(world: World) -> None:
+    for _ in range(3):
+        await anyio.sleep(world.rng.uniform(2.0, 5.0))
+        await restart(world, leader(world), world.rng.uniform(0.2, 3.0))
+
+
+async def slow_store(world: World) -> None:
+    world.store.slow_s = 0.2
+    await anyio.sleep(20.0)
+    world.store.slow_s = 0.0
+
+
+async def late_answers(world: World) -> None:
+    """Each controller's transactions are carried out at once and answered late, in turn."""
+    for _ in range(2):
+        for index in range(world.count):
+            world.store.late = {f"node-{index}": 0.9}
+            await anyio.sleep(4.0)
+    world.store.late = {}
+
+
+async def refused_in_turn(world: World) -> None:
+    """Each controller is refused by the store for a while, so that its requests are passed on."""
+    for index in range(world.count):
+        world.store.refuses = {f"node-{index}"}
+        await anyio.sleep(4.0)
+        world.store.refuses = set()
+        await anyio.sleep(1.0)
+
+
+LOOKS: list[Meeting] = [calm, leaders_end, slow_store, late_answers, refused_in_turn]
+
+
+@pytest.mark.parametrize("count", [3, 7])
+@pytest.mark.parametrize("trouble", LOOKS, ids=lambda t: t.__name__)
+def test_a_close_look_at_all_nodes_finds_nothing_older(trouble: Meeting, count: int) -> None:
+    world = World(900 + LOOKS.index(trouble), count, cancel_s=CANCEL_S)
+    world.close_looks = 1.0
+    events = ("accepted", "ended", "done", "cancelled")
+    play(
+        world,
+        lambda: day(world, (trouble,), 20),
+        *(f"looked at when {event}" for event in events),
+    )
+
+
+def short(world: World, number: int) -> dict[str, Any]:
+    """Jobs that end soon: arrays, gangs, some that save."""
+    small = {"vcpus": 1.0, "ram_gb": 2.0, "parcel": f"img-{number % 2}", "image_gb": 0.2}
+    kind = world.rng.choice(
+        [
+            {"entries": 1, "expect_s": 1.0},
+            {"entries": 3, "expect_s": 2.0, "far_s": 1.5, "rank": "urgent"},
+            {"entries": 3, "form": "group", "expect_s": 3.0, "bureau": "blue"},
+            {"entries": 2, "form": "group", "expect_s": 3.0, "bookmark_s": 1.0, "stamp_s": 1.0},
+        ]
+    )
+    return job(number, **small | kind)
+
+
+@pytest.mark.parametrize("seed", [920, 921])
+def test_a_cancellation_meets_the_end_of_the_last_task(seed: int) -> None:
+    """Questions and repeated submissions come at that moment as well; nothing else is wrong."""
+    world = World(seed, cancel_s=CANCEL_S)
+    world.cancel_at_end, world.close_looks = 0.6, 1.0
+
+    async def main() -> None:
+        await day(world, (calm,), 30, short, cancels=0.0)
+        # Both have been told, each of some jobs: the meeting went either way.
+        for state in set(world.answers.over.values()):
+            world.met[f"told {state} at the end"] += 1
+
+    signs = ("cancelled at its end", "looked at when ended")
+    play(world, main, *signs, "told done at the end", "told cancelled at the end")
+
+
+def test_what_waits_for_a_job_follows_what_was_told_of_its_end() -> None:
+    """The last task of an awaited job ends as the job is called off."""
+    world = World(930, cancel_s=CANCEL_S)
+    world.cancel_at_end, world.close_looks = 0.35, 1.0
+
+    async def main() -> None:
+        await warm(world)
+        lines = [pipeline(world, 10 * number) for number in range(8)]
+        for line in lines:
+            for spec in line:
+                assert await world.submit(spec) in (200, 201)
+        ids = [spec["id"] for line in lines for spec in line]
+        await settle(world, ids)
+        over = world.answers.over
+        for job_id in ids:
+            called_off = {over[name] for name in world.needed(job_id)}
+            if "cancelled" in called_off:
+                assert over[job_id] == "cancelled", job_id
+                world.met["followed a cancelled job"] += 1
+            elif over[job_id] == "done":
+                world.met["followed jobs that are done"] += bool(called_off)
+
+    play(
+        world,
+        main,
+        "cancelled at its end",
+        "followed a cancelled job",
+        "followed jobs that are done",
+    )
+
+
+def test_a_service_called_off_as_it_starts_is_told_cancelled_alone() -> None:
+    world = World(931, cancel_s=CANCEL_S)
+    world.close_looks = 1.0
+
+    async def main() -> None:
+        await warm(world)
+        for number in range(6):
+            spec = job(number, form="service", rank="prod", entries=1, expect_s=0.0)
+            assert await world.submit(spec) == 201
+        ids = list(world.specs)
+        for job_id in ids:
+            with anyio.fail_after(60.0):
+                while not running(world, job_id) and job_id not in world.cancelled_at:
+                    await anyio.sleep(0.02)
+            assert await world.cancel(job_id) == "cancelled"
+        await settle(world, ids)
+
+    play(world, main, "looked at when cancelled")
+
+
+# Bodies that deserve a 400, and jobs that can never run.
+Odd = dict[str, Any]
+MALFORMED: list[Odd] = [
+    *({field: None} for field in REQUIRED if field != "id"),
+    {"entries": 0},
+    {"entries": 100_001},
+    {"entries": 1.5},
+    {"entries": True},
+    {"vcpus": -1.0},
+    {"vcpus": float("inf")},
+    {"vcpus": "2"},
+    {"ram_gb": float("nan")},
+    {"form": "heap"},
+    {"rank": "first"},
+    {"loaners": 1},
+    {"breeds": "small"},
+    {"due_s": -1.0},
+]
+UNFIT: list[Odd] = [
+    {"bureau": "green"},
+    {"vcpus": 17.0},
+    {"gpus": 3.0},
+    {"ram_gb": 65.0},
+    {"breeds": []},
+    {"breeds": ["huge"]},
+    {"breeds": ["small"], "vcpus": 5.0},
+    {"district": "west"},
+    {"gpus": 1.0, "bureau": "blue"},
+    {"form": "group", "entries": 25},
+    {"form": "service", "entries": 17, "bureau": "blue"},
+]
+
+
+async def statuses(
+    world: World, method: str, path: str, body: Any = None
+) -> list[tuple[int, str | None]]:
+    """The status at each node, and how the job stands if the answer says so."""
+    found: list[tuple[int, str | None]] = []
+    for node in range(world.count):
+        answer = await world.ask(method, path, body, node)
+        standing = cbor2.loads(answer.body).get("standing") if answer.status in (200, 201) else None
+        assert answer.status != 503 or answer.retry_after, "come back when?"
+        found.append((answer.status, standing))
+    return found
+
+
+async def odd_requests(world: World, known: dict[str, str], unsure: bool) -> None:
+    """Each odd request at every node; `unsure`: while nobody can tell what is accepted."""
+
+    def allow(found: list[tuple[int, str | None]], *wanted: tuple[int, str | None]) -> None:
+        allowed = {*wanted, (503, None)} if unsure else set(wanted)
+        assert set(found) <= allowed, (found, wanted)
+
+    number = world.rng.randrange(500_000, 900_000)
+    for fields, status in [(f, 400) for f in MALFORMED] + [(f, 422) for f in UNFIT]:
+        number += 1
+        spec = {k: v for k, v in (job(number) | fields).items() if v is not None}
+        allow(await statuses(world, "POST", "/work", spec), (status, None))
+        allow(await statuses(world, "GET", f"/work/{spec['id']}"), (404, None))
+        allow(await statuses(world, "POST", f"/work/{spec['id']}/cancel"), (404, None))
+    for body in (["a", "list"], "text", 7, {"id": "job-1"}, {}):
+        allow(await statuses(world, "POST", "/work", body), (400, None))
+    for path in ("/work/job-1", "/work/none", "/work/job-000000/0", "/work/../x"):
+        allow(await statuses(world, "GET", path), (404, None))
+    for job_id, state in known.items():
+        changes: list[Odd] = [
+            {"entries": 9},
+            {"bureau": "green"},
+            {"vcpus": None},
+            {"form": "heap"},
+        ]
+        for fields in changes:
+            spec = {k: v for k, v in (world.specs[job_id] | fields).items() if v is not None}
+            allow(await statuses(world, "POST", "/work", spec), (200, state))
+        allow(await statuses(world, "GET", f"/work/{job_id}"), (200, state))
+        if state != "running":
+            allow(await statuses(world, "POST", f"/work/{job_id}/cancel"), (200, state))
+        world.met[f"asked oddly of a job that is {state}"] += 1
+
+
+def test_odd_requests_get_what_the_page_says_at_every_node() -> None:
+    """Before the machine types are known, in ordinary times, in an outage, and after it."""
+    world = World(940, cancel_s=CANCEL_S)
+    cloud = world.cloud.handle
+
+    async def main() -> None:
+        world.network.handlers.pop("cloud")
+        await until(lambda: len(world.nodes) == world.count, 10.0)
+        # Not a job of the platform is refused for good while nobody knows what fits.
+        await odd_requests_early(world)
+        world.network.handlers["cloud"] = cloud
+        await warm(world)
+        specs = [job(1, entries=1, expect_s=1.0), job(2, expect_s=500.0), job(3, expect_s=500.0)]
+        for spec in specs:
+            assert await world.submit(spec) == 201
+        assert not await world.until_done(["job-000001"], 60.0)
+        with anyio.fail_after(60.0):
+            while len(running(world, "job-000002", "job-000003")) < 4:
+                await anyio.sleep(0.2)
+        assert await world.cancel("job-000003") == "cancelled"
+        known = {"job-000001": "done", "job-000002": "running", "job-000003": "cancelled"}
+        await anyio.sleep(3.0)
+        await odd_requests(world, known, unsure=False)
+        world.store.outage(True)
+        await anyio.sleep(2.0)
+        await odd_requests(world, known, unsure=True)
+        world.store.outage(False)
+        await warm(world)
+        await odd_requests(world, known, unsure=False)
+        assert world.specs["job-000002"]["entries"] == 2
+        assert await world.cancel("job-000002") == "cancelled"
+        assert not await world.until_done(list(known), 60.0)
+        started = {name.partition("/")[0] for name in world.starts}
+        assert started <= known.keys(), "what was never accepted ran"
+
+    states = ("done", "running", "cancelled")
+    play(world, main, *(f"asked oddly of a job that is {state}" for state in states))
+
+
+async def odd_requests_early(world: World) -> None:
+    """No machine type is known to anyone."""
+    deadline = now() + 4.0
+    while now() < deadline:
+        spec = job(777)
+        found = await statuses(world, "POST", "/work", spec)
+        assert {status for status, _ in found} <= {503}, found
+        found = await statuses(world, "POST", "/work", spec | {"vcpus": 500.0})
+        assert {status for status, _ in found} <= {503}, found
+        lacking = {k: v for k, v in spec.items() if k != "rank"}
+        found = await statuses(world, "POST", "/work", lacking)
+        assert {status for status, _ in found} <= {400, 503}, found
+        world.met["asked before the types are known"] += 1
+        await anyio.sleep(0.5)
+    assert world.met["asked before the types are known"]
+
+
+@pytest.mark.parametrize("seed", [950, 951, 952])
+def test_what_was_passed_on_for_an_ended_process_is_no_answer_to_the_next(seed: int) -> None:
+    """A peer that stands still has a request of a controller that ends; it answers the next process."""
+    world = World(seed, cancel_s=CANCEL_S)
+    asked: list[str] = []  # to whom node-0 passed requests on
+
+    def frames(source: str, target: str, message: Any) -> None:
+        if source == "node-0" and isinstance(message, mesh.Ask):
+            asked.append(target)
+        if target == "node-0" and isinstance(message, mesh.Answer) and len(asked) > 1:
+            # Both are under way: the first one's answer comes while the second waits.
+            world.met["an answer came late"] += bool(world.nodes["node-0"].peers._asked)
+
+    async def main() -> None:
+        await warm(world)
+        world.frames = frames
+        world.store.refuses = {"node-0"}
+        await anyio.sleep(3.0)
+        world.specs |= {f"job-{number:06d}": job(number) for number in range(2)}
+        world.network.tasks.start_soon(world.ask, "POST", "/work", job(0), 0)
+        await until(lambda: bool(asked), 3.0, 0.001)
+        await anyio.sleep(0.011)
+        index = int(asked[0][-1])
+        world.freeze(index)
+        world.crash(0)
+        world.store.refuses = set()
+        world.boot(0)
+        await until(lambda: "node-0" in world.nodes and world.nodes["node-0"].hold.alive(), 6.0)
+        world.store.refuses = {"node-0"}
+        world.store.late = {f"node-{i}": 1.4 for i in (1, 2)}
+        with anyio.move_on_after(8.0):
+            while len(asked) < 2:
+                world.network.tasks.start_soon(world.offer, job(1), 0)
+                await anyio.sleep(0.2)
+        world.thaw(index)
+        await anyio.sleep(3.0)
+        world.store.late, world.store.refuses = {}, set()
+        await settle(world, [spec["id"] for spec in map(job, range(2)) if await world.submit(spec)])
+
+    play(world, main, "an answer came late")
