--- a/src/sandladder/premises.py
+++ b/src/sandladder/premises.py
@@ -69,7 +69,7 @@
 class Intent:
     """A pending start with the premises it stands on."""
 
-    __slots__ = ("spec", "placement", "clerk", "premises", "read")
+    __slots__ = ("spec", "placement", "clerk", "premises", "read", "under_way")
 
     def __init__(
         self, spec: JobSpec, placement: Placement, clerk: str, awaits: Iterable[str] = ()
@@ -91,6 +91,7 @@
             *(Premise("after", ("job", name), Outcome.BLOCK) for name in awaits),
         )
         self.read: dict[Resource, int] = {}
+        self.under_way = False  # it was let through for a commit whose outcome is not known
 
     @property
     def key(self) -> tuple[str, int]:
@@ -251,7 +252,13 @@
 
     def changed(self, resources: Iterable[Resource], evidence: Evidence) -> list[Verdict]:
         """Check again what these changes reach; a replanned or blocked start is dropped."""
-        reached = self._index.reach(resources)
+        # What its own commit changed must not be held against a start: the watch may bring that
+        # before the answer comes.  Should the commit fail, it is checked again before the next.
+        reached = {
+            key: through
+            for key, through in self._index.reach(resources).items()
+            if not self.pending[key].under_way
+        }
         verdicts = [
             self._judge(self.pending[key], through, evidence) for key, through in reached.items()
         ]
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -183,6 +183,7 @@
         for intent in self._starts.get(job_id, ()):
             if gate.pending.get(intent.key) is not intent:
                 continue
+            intent.under_way = False
             verdict = gate.release(intent, self._c.picture)
             if verdict.outcome < Outcome.REPLAN:
                 passed.append(intent)
@@ -268,6 +269,8 @@
             self._withdraw(passed)
             return useful
         self._released[job_id] = passed
+        for intent in passed:
+            intent.under_way = True
         return True
 
     def _committed(self, job_id: str) -> None:
--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -182,6 +182,10 @@
                 if not inside(other):
                     world.network.cut(one, other, "hold" if other == "state" else "drop")
         began = now()
+        await anyio.sleep(0.1)
+        at_once = {name.partition("/")[0] for w, name in running(world) if inside(w.name)}
+        for job_id in sorted(at_once)[:4]:
+            world.network.tasks.start_soon(world.cancel, job_id, 240)
         while now() < began + seconds:
             there = [(w, name) for w, name in running(world) if inside(w.name) and w.clerk == 1]
             world.met["work in the zone"] += bool(there)
