Quotas: a limit or guarantee of 0 is none, in one typed comparison; a test's move is seen coming

Cause: DEPLOY says that 0 means none; the code took a limit of 0 for a limit of nothing, in five places, and the stand-in world repeated the mistake.

One verdict: test_called_off_in_the_seconds_in_which_work_changes_hands[crash-7] followed a set's order and called off by chance in time. It now takes the placer in order of names and calls off when the roster says that the move comes (for an orderly leave: right before it).

--- a/src/sandladder/eviction.py
+++ b/src/sandladder/eviction.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from sandladder.lifecycle import zones_allowed
-from sandladder.model import ARRAY, GANG, PRODUCTION, SERVICE, Job
+from sandladder.model import ARRAY, GANG, PRODUCTION, SERVICE, Job, TeamUsage
 from sandladder.picture import allowed, fits, less
 from sandladder.placement import Planner
 from sandladder.premises import Room
@@ -52,13 +52,12 @@
                 continue
             if barred.get(job.id, 0.0) > picture.now:
                 continue
-            left_cpus, left_gpus = picture.team_left(spec.team)
+            left = picture.team_left(spec.team)
             for task in job.pending():
                 key = (job.id, task)
-                if left_cpus < spec.cpus or left_gpus < spec.gpus:
+                if not left.covers(spec):
                     break
-                left_cpus -= spec.cpus
-                left_gpus -= spec.gpus
+                left = left.less(TeamUsage().plus(spec, 1))
                 if key in self._claims or key in picture.gate.pending:
                     continue
                 found = self._victims(job, within, chosen)
--- a/src/sandladder/lifecycle.py
+++ b/src/sandladder/lifecycle.py
@@ -25,8 +25,9 @@
     MachineType,
     Placer,
     Summary,
-    Team,
+    TeamUsage,
 )
+from sandladder.quota import headroom
 from sandladder.records import (
     FINAL,
     FLEET,
@@ -53,9 +54,6 @@
 )
 from sandladder.settings import TeamLimits
 
-# Room for rounding when amounts that are decimal numbers are added up.
-EPSILON = 1e-6
-
 
 class Refused(Exception):
     """A change does not hold on the current records; the text says why."""
@@ -76,8 +74,8 @@
         # nothing relies on them again before they have moved past it.
         self.unsure = unsure or {}
         self.jobs: dict[str, Job | None] = {}
-        self.teams: dict[str, Team] = {}
-        self.used: dict[str, Team] = {}
+        self.teams: dict[str, TeamUsage] = {}
+        self.used: dict[str, TeamUsage] = {}
         self.finals: dict[str, Final] = {}
         self.others: dict[str, tuple[Any, int | None]] = {}
         self.fleet: dict[str, Machine] | None = None
@@ -117,18 +115,18 @@
         self.guards[JOB + job.id] = 0
         self.guards[FINAL + job.id] = 0
 
-    def team(self, name: str) -> Team:
+    def team(self, name: str) -> TeamUsage:
         """A team's record in the first form, for changing."""
         if name not in self.teams:
-            self.teams[name] = self.mirror.teams.get(name, Team())
+            self.teams[name] = self.mirror.teams.get(name, TeamUsage())
             self.guards[TEAM + name] = self.mirror.version(TEAM + name)
         return self.teams[name]
 
-    def held(self, name: str) -> Team:
+    def held(self, name: str) -> TeamUsage:
         """What the live attempts of a team hold, with the changes made here."""
         if self.plain:
             return self.team(name)
-        return self.used.get(name, self.mirror.used.get(name, Team()))
+        return self.used.get(name, self.mirror.used.get(name, TeamUsage()))
 
     def hold(self, job: Job, tasks: int) -> None:
         """Change what the job's team holds by so many tasks of it."""
@@ -317,7 +315,7 @@
     view: View,
     job_id: str,
     placements: list[Placement],
-    limits: TeamLimits,
+    limits: TeamLimits | None,
     placer: Placer | None = None,
 ) -> None:
     """Commit starts: the last word on the rules that bind job and team.
@@ -344,11 +342,7 @@
         raise Refused("a start that had no answer may still arrive")
     if view.mirror.starts_barred(spec.team):
         raise Refused("what the team holds cannot be told")
-    team = view.held(spec.team)
-    if (
-        team.cpus + len(placements) * spec.cpus > limits.cpus_max + EPSILON
-        or team.gpus + len(placements) * spec.gpus > limits.gpus_max + EPSILON
-    ):
+    if not headroom(limits, view.held(spec.team)).covers(spec, len(placements)):
         raise Refused("the team's limit")
     if not view.plain:
         view.guards[TEAM + spec.team] = view.mirror.version(TEAM + spec.team)
@@ -454,7 +448,7 @@
     if not any(kind.fits(spec) for kind in types.values()):
         return "a task fits no allowed machine type"
     tasks = 1 if spec.kind == "array" else spec.tasks
-    if spec.cpus * tasks > team.cpus_max + EPSILON or spec.gpus * tasks > team.gpus_max + EPSILON:
+    if not headroom(team, TeamUsage()).covers(spec, tasks):
         return "more than the team's limit"
     return None
 
--- a/src/sandladder/mirror.py
+++ b/src/sandladder/mirror.py
@@ -17,7 +17,7 @@
     Member,
     Placer,
     Summary,
-    Team,
+    TeamUsage,
 )
 from sandladder.pipelines import Pipelines
 from sandladder.records import (
@@ -61,10 +61,10 @@
         self.marks: dict[str, int] = {}  # by controller, the form that it said it understands
         self.jobs: dict[str, Job] = {}
         self.pipelines = Pipelines(self.jobs)
-        self.teams: dict[str, Team] = {}  # as the first form keeps it
+        self.teams: dict[str, TeamUsage] = {}  # as the first form keeps it
         self.placers: dict[str, Placer] = {}  # in the second form
         self.roster: dict[str, Member] = {}
-        self.used: dict[str, Team] = {}  # what the live attempts of each team hold
+        self.used: dict[str, TeamUsage] = {}  # what the live attempts of each team hold
         self.nodes: dict[str, Summary] = {}
         self.fleet: dict[str, Machine] = {}
         self.chunks: dict[int, list[str]] = {}  # the machines of each fleet record
@@ -255,7 +255,7 @@
             self.types = msgspec.convert(value or {}, dict[str, MachineType], strict=False)
 
     def _set_team(self, name: str, value: Any) -> None:
-        found = Team() if value is None else read_team(value)
+        found = TeamUsage() if value is None else read_team(value)
         self.teams.pop(name, None)
         self.placers.pop(name, None)
         if isinstance(found, Placer):
@@ -372,7 +372,7 @@
                 held += sign * len(job.live)
         some = new or old
         if some is not None and held:
-            team = self.used.get(some.spec.team, Team())
+            team = self.used.get(some.spec.team, TeamUsage())
             self.used[some.spec.team] = team.plus(some.spec, held)
         self.pipelines.changed(job_id, old, new)
         if new is not None:
--- a/src/sandladder/model.py
+++ b/src/sandladder/model.py
@@ -276,17 +276,17 @@
     why: str  # what speaks against it
 
 
-class Team(NamedTuple):
-    """What a team's attempts hold, over all whose end is not proved."""
+class TeamUsage(NamedTuple):
+    """CPUs and GPUs that a team's attempts hold, over all whose end is not proved."""
 
     cpus: float = 0.0
     gpus: float = 0.0
 
-    def plus(self, spec: JobSpec, tasks: int) -> "Team":
+    def plus(self, spec: JobSpec, tasks: int) -> "TeamUsage":
         """With so many tasks of a job more, or fewer."""
         cpus = self.cpus + tasks * spec.cpus
         gpus = self.gpus + tasks * spec.gpus
-        return Team(max(0.0, round(cpus, 6)), max(0.0, round(gpus, 6)))
+        return TeamUsage(max(0.0, round(cpus, 6)), max(0.0, round(gpus, 6)))
 
 
 class Machine(NamedTuple):
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -24,12 +24,13 @@
     MachineType,
     Seen,
     Summary,
-    Team,
+    TeamUsage,
 )
 from sandladder.pipelines import Outlook
 from sandladder.premises import Gate, Resource, Room
+from sandladder.quota import Headroom, headroom, within_guarantee
 from sandladder.records import JOB, TEAM
-from sandladder.settings import Settings, TeamLimits
+from sandladder.settings import Settings
 
 # A machine on which so many different jobs failed in a row is not trusted with more.  One
 # job alone proves nothing: it may fail everywhere.
@@ -326,10 +327,9 @@
     def settled(self, job_id: str) -> Final | None:
         return self.mirror.pipelines.settled(job_id)
 
-    def team_left(self, team: str) -> tuple[float, float]:
-        limits = self.limits.get(team, TeamLimits(team))
-        held = self.mirror.used.get(team, Team())
-        return limits.cpus_max - held.cpus, limits.gpus_max - held.gpus
+    def team_left(self, team: str) -> Headroom:
+        """What the live attempts of a team leave under its limits."""
+        return headroom(self.limits.get(team), self.mirror.used.get(team, TeamUsage()))
 
     def version(self, resource: Resource) -> int:
         kind, name = resource
@@ -433,9 +433,8 @@
     def order_key(self, job: Job) -> tuple[int, int, float]:
         """Who goes first: priority, then teams within their guarantee, then the most urgent."""
         spec = job.spec
-        limits = self.limits.get(spec.team, TeamLimits(spec.team))
-        held = self.mirror.used.get(spec.team, Team())
-        within = held.cpus + spec.cpus <= limits.cpus + 1e-6
+        usage = self.mirror.used.get(spec.team, TeamUsage())
+        within = within_guarantee(self.limits.get(spec.team), usage, spec)
         return -self.outlook(job).priority, 0 if within else 1, self.latest_start(job)
 
     def forget(self) -> None:
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -15,7 +15,7 @@
 
 from sandladder.lifecycle import Placement
 from sandladder.limits import Limits
-from sandladder.model import GANG, HIGH, LOW, SERVICE, Job, JobSpec
+from sandladder.model import GANG, HIGH, LOW, SERVICE, Job, JobSpec, TeamUsage
 from sandladder.picture import Picture, allowed, holds, less, likeness
 from sandladder.premises import Intent, Room
 from sandladder.reservation import Reservation
@@ -64,11 +64,11 @@
         urgent = (picture.outlook(picture.mirror.jobs[job_id]) for job_id in mine)
         self.urgent = any(outlook.priority >= HIGH for outlook in urgent)
         pending: dict[str, list[Intent]] = {}
-        spent: dict[str, tuple[float, float]] = {}
+        spent: dict[str, TeamUsage] = {}
         for intent in picture.gate.pending.values():
             pending.setdefault(intent.spec.id, []).append(intent)
-            cpus, gpus = spent.get(intent.spec.team, (0.0, 0.0))
-            spent[intent.spec.team] = cpus + intent.spec.cpus, gpus + intent.spec.gpus
+            used = spent.get(intent.spec.team, TeamUsage())
+            spent[intent.spec.team] = used.plus(intent.spec, 1)
         left = _FULL_COMMITS * self.limits.txn_ops - len(pending)
         if not mine or left <= 0:
             return []  # more than can be committed soon would only grow stale
@@ -112,15 +112,11 @@
             known += found
         return admitted
 
-    def _reserve(self, job: Job, spent: dict[str, tuple[float, float]]) -> None:
+    def _reserve(self, job: Job, spent: dict[str, TeamUsage]) -> None:
         """Hold room back for an aged job that found none, unless its team's limit keeps it."""
-        cpus, gpus = self.picture.team_left(job.spec.team)
-        used_cpus, used_gpus = spent.get(job.spec.team, (0.0, 0.0))
+        left = self.picture.team_left(job.spec.team).less(spent.get(job.spec.team, TeamUsage()))
         need = job.waiting if job.spec.kind == GANG else 1
-        if (
-            need * job.spec.cpus <= cpus - used_cpus + 1e-6
-            and need * job.spec.gpus <= gpus - used_gpus + 1e-6
-        ):
+        if left.covers(job.spec, need):
             self.reservation.make(job)
 
     def most_live(self, spec: JobSpec) -> int:
@@ -133,7 +129,7 @@
         rooms: dict[str, Room],
         able: dict[tuple[object, ...], dict[str, Room]],
         waiting: list[Intent],
-        spent: dict[str, tuple[float, float]],
+        spent: dict[str, TeamUsage],
         at_hand: bool,
     ) -> list[Intent]:
         """Places for waiting tasks of a job, only where its image is at hand if so asked."""
@@ -141,12 +137,8 @@
         taken = {intent.placement.task for intent in waiting}
         if spec.kind == GANG and (job.live or taken):
             return []
-        left_cpus, left_gpus = picture.team_left(spec.team)
-        used_cpus, used_gpus = spent.get(spec.team, (0.0, 0.0))
-        left_cpus, left_gpus = left_cpus - used_cpus, left_gpus - used_gpus
-        most = int((left_cpus + 1e-6) / spec.cpus)
-        if spec.gpus > 0:
-            most = min(most, int((left_gpus + 1e-6) / spec.gpus))
+        used = spent.get(spec.team, TeamUsage())
+        most = picture.team_left(spec.team).less(used).tasks(spec, job.waiting)
         if spec.kind == GANG:
             if most < job.waiting:
                 return []
@@ -183,10 +175,7 @@
             rooms[room.id] = less(rooms[room.id], spec)
             placement = Placement(task, room.id, room.zone, room.session)
             found.append(Intent(spec, placement, room.clerk, job.awaits))
-        spent[spec.team] = (
-            used_cpus + len(found) * spec.cpus,
-            used_gpus + len(found) * spec.gpus,
-        )
+        spent[spec.team] = used.plus(spec, len(found))
         return found
 
     def in_time(self, job: Job) -> Callable[[Room], bool] | None:
--- a/src/sandladder/premises.py
+++ b/src/sandladder/premises.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
-from sandladder.lifecycle import EPSILON, Placement, zones_allowed
+from sandladder.lifecycle import Placement, zones_allowed
 from sandladder.model import DONE, Final, Job, JobSpec
+from sandladder.quota import EPSILON, Headroom
 
 Resource = tuple[str, str]  # kind ("machine", "task", "job", "team") and name
 
@@ -53,7 +54,7 @@
 
     def settled(self, job_id: str) -> Final | None: ...
 
-    def team_left(self, team: str) -> tuple[float, float]: ...
+    def team_left(self, team: str) -> Headroom: ...
 
     def version(self, resource: Resource) -> int: ...
 
@@ -158,8 +159,7 @@
 
 
 def _limit(intent: Intent, evidence: Evidence, on: Resource) -> bool:
-    cpus, gpus = evidence.team_left(intent.spec.team)
-    return intent.spec.cpus <= cpus + EPSILON and intent.spec.gpus <= gpus + EPSILON
+    return evidence.team_left(intent.spec.team).covers(intent.spec)
 
 
 def _after(intent: Intent, evidence: Evidence, on: Resource) -> bool:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -9,7 +9,6 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from sandladder.lifecycle import EPSILON
 from sandladder.model import (
     HIGH,
     PRODUCTION,
@@ -19,11 +18,11 @@
     ListedMachine,
     Machine,
     MachineType,
-    Team,
+    TeamUsage,
 )
 from sandladder.picture import SICK_ERRORS, Picture, allowed, likeness
 from sandladder.premises import Room
-from sandladder.settings import TeamLimits
+from sandladder.quota import EPSILON, headroom
 
 log = logging.getLogger(__name__)
 
@@ -224,16 +223,12 @@
         bins.sort(key=lambda b: (not b.offer[2], b.cpus))
         return bins
 
-    def _startable(self, job: Job, teams: dict[str, Team]) -> int:
+    def _startable(self, job: Job, teams: dict[str, TeamUsage]) -> int:
         """How many waiting tasks the team's limit lets start; counts them as started."""
         spec = job.spec
-        limits = self.picture.limits.get(spec.team, TeamLimits(spec.team))
-        held = teams.get(spec.team, Team())
-        count = min(job.waiting, int((limits.cpus_max - held.cpus + 1e-6) / spec.cpus))
-        if spec.gpus > 0:
-            count = min(count, int((limits.gpus_max - held.gpus + 1e-6) / spec.gpus))
-        count = max(0, count)
-        teams[spec.team] = Team(held.cpus + count * spec.cpus, held.gpus + count * spec.gpus)
+        usage = teams.get(spec.team, TeamUsage())
+        count = headroom(self.picture.limits.get(spec.team), usage).tasks(spec, job.waiting)
+        teams[spec.team] = usage.plus(spec, count)
         return count
 
     @staticmethod
--- /dev/null
+++ b/src/sandladder/quota.py
@@ -0,0 +1,86 @@
+"""Quotas of teams: what is left under a limit, and whether a task falls within a guarantee.
+
+A team may be limited in CPUs, in GPUs, in both or in neither; the platform's settings write 0 for
+a resource in which it is not.  `None` stands for "no limit" here, so that no large number can be
+mistaken for an amount, and nothing unlimited reaches a record or a message.  Pure.
+"""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sandladder.model import JobSpec, TeamUsage
+from sandladder.settings import TeamLimits
+
+# Room for rounding when amounts that are decimal numbers are added up.
+EPSILON = 1e-6
+
+
+class Headroom(NamedTuple):
+    """How much more a team's tasks may hold; `None` where the team is not limited."""
+
+    cpus: float | None = None
+    gpus: float | None = None
+
+    def less(self, usage: TeamUsage) -> "Headroom":
+        """What is left once so much more is held."""
+        return Headroom(
+            None if self.cpus is None else self.cpus - usage.cpus,
+            None if self.gpus is None else self.gpus - usage.gpus,
+        )
+
+    def _each(self, spec: JobSpec) -> Iterator[tuple[float, float]]:
+        """What is left of each limited resource that a task of this job needs, and its need."""
+        if self.cpus is not None and spec.cpus > 0:
+            yield self.cpus, spec.cpus
+        if self.gpus is not None and spec.gpus > 0:
+            yield self.gpus, spec.gpus
+
+    def covers(self, spec: JobSpec, tasks: int = 1) -> bool:
+        """Whether so many more tasks of a job may be held."""
+        return all(tasks * need <= left + EPSILON for left, need in self._each(spec))
+
+    def tasks(self, spec: JobSpec, wanted: int) -> int:
+        """How many of the wanted tasks of a job may be held."""
+        for left, need in self._each(spec):
+            wanted = min(wanted, int((left + EPSILON) / need))
+        return max(0, wanted)
+
+
+# For a team that the settings do not name: nothing of it may start.
+NOTHING = Headroom(0.0, 0.0)
+
+
+def headroom(limits: TeamLimits | None, usage: TeamUsage) -> Headroom:
+    """What is left under a team's limits; nothing for a team without settings (fails closed)."""
+    if limits is None:
+        return NOTHING
+    return Headroom(limits.cpus_max or None, limits.gpus_max or None).less(usage)
+
+
+def nearly_used_up(limits: TeamLimits | None, usage: TeamUsage, share: float) -> bool:
+    """Whether less than this share of some limit of a team is left."""
+    if limits is None:
+        return True
+    limited = ((limits.cpus_max, usage.cpus), (limits.gpus_max, usage.gpus))
+    return any(limit > 0 and limit - used < share * limit for limit, used in limited)
+
+
+def within_guarantee(limits: TeamLimits | None, usage: TeamUsage, spec: JobSpec) -> bool:
+    """Whether one more task of a job falls within its team's guarantee.
+
+    The users' page (DEPLOY) promises no wait "while all of its unfinished jobs fit within them
+    together", and writes 0 for a resource in which there is no guarantee.  So the resources in
+    which one is given are counted: a task that needs no GPU does not use up a guarantee of GPUs.
+    A team without any guarantee has none to be within.
+    """
+    if limits is None:
+        return False
+    given = [
+        used + need <= guarantee + EPSILON
+        for guarantee, used, need in (
+            (limits.cpus, usage.cpus, spec.cpus),
+            (limits.gpus, usage.gpus, spec.gpus),
+        )
+        if guarantee > 0
+    ]
+    return bool(given) and all(given)
--- a/src/sandladder/records.py
+++ b/src/sandladder/records.py
@@ -23,7 +23,7 @@
     Ranges,
     Seen,
     Summary,
-    Team,
+    TeamUsage,
 )
 
 ROOT = "s/"
@@ -252,11 +252,11 @@
     return {"p": placer.node, "n": placer.term}
 
 
-def read_team(value: Any) -> Team | Placer:
+def read_team(value: Any) -> TeamUsage | Placer:
     """A team's record: what it holds, or who places its jobs."""
     if isinstance(value, dict):
         return Placer(str(value["p"]), int(value["n"]))
-    return Team(*(float(amount) for amount in value))
+    return TeamUsage(*(float(amount) for amount in value))
 
 
 class _Part(msgspec.Struct, rename={"kinds": "k", "images": "i", "rows": "m", "odd": "x"}):
--- a/src/sandladder/settings.py
+++ b/src/sandladder/settings.py
@@ -36,7 +36,7 @@
 
 
 class TeamLimits(msgspec.Struct, frozen=True):
-    """A team's guarantee and its limit; 0 means none."""
+    """A team's guarantees and limits (`_max`); 0 means that it has none in that resource."""
 
     name: str
     cpus: float = 0.0
@@ -269,10 +269,23 @@
     nodes = [platform.node_name, *(p.node_name for p in platform.peers)]
     if len(set(nodes)) != len(nodes):
         raise SettingsError("peers: node names must differ")
+    for index, team in enumerate(d.teams):
+        _check_team(f"deployment.teams[{index}]", team)
     if len({t.name for t in d.teams}) != len(d.teams):
         raise SettingsError("deployment.teams: names must differ")
 
 
+def _check_team(where: str, team: TeamLimits) -> None:
+    """A team's amounts are not negative, and no guarantee is over its limit."""
+    for resource in ("cpus", "gpus"):
+        guarantee, limit = getattr(team, resource), getattr(team, f"{resource}_max")
+        for name, amount in ((resource, guarantee), (f"{resource}_max", limit)):
+            if not isfinite(amount) or amount < 0:
+                raise SettingsError(f"{where}.{name}: must be 0 (none) or more")
+        if limit and guarantee > limit:
+            raise SettingsError(f"{where}.{resource}: the guarantee is over {resource}_max")
+
+
 def load_platform(path: Path) -> Platform:
     """Read and check the platform's file."""
     try:
--- a/src/sandladder/work.py
+++ b/src/sandladder/work.py
@@ -15,10 +15,10 @@
 
 from sandladder import mesh
 from sandladder.lifecycle import Ended, Refused, View, end, file_final, settle, start
-from sandladder.model import ARRAY, HIGH
+from sandladder.model import ARRAY, HIGH, TeamUsage
 from sandladder.premises import Intent, Outcome
+from sandladder.quota import headroom, nearly_used_up
 from sandladder.records import JOB
-from sandladder.settings import TeamLimits
 from sandladder.store import P_IDLE, P_START, P_WORK, Change, work_priority
 
 if TYPE_CHECKING:
@@ -117,12 +117,12 @@
             return True
         if len(self._ends[item.job]) >= len(job.live):
             return True
-        cpus, gpus = self._c.picture.team_left(job.spec.team)
-        limits = self._c.picture.limits.get(job.spec.team, TeamLimits(""))
-        if cpus < _TIGHT * limits.cpus_max or gpus < _TIGHT * limits.gpus_max:
+        limits = self._c.picture.limits.get(job.spec.team)
+        usage = self._c.mirror.used.get(job.spec.team, TeamUsage())
+        if nearly_used_up(limits, usage, _TIGHT):
             return True  # some job of the team may wait for this
         bound = len(job.live) >= self._c.planner.most_live(job.spec)
-        return job.waiting > 0 and (bound or cpus < job.spec.cpus or gpus < job.spec.gpus)
+        return job.waiting > 0 and (bound or not headroom(limits, usage).covers(job.spec))
 
     def _note(self, item: Ended) -> None:
         """Let a job that fails everywhere back off."""
@@ -255,7 +255,7 @@
         job = c.mirror.jobs.get(job_id)
         if not passed or job is None or not c.hold.alive():
             return useful
-        limits = c.picture.limits.get(job.spec.team, TeamLimits(""))
+        limits = c.picture.limits.get(job.spec.team)
         room = c.limits.conditions // 2
         if len(job.awaits) > room:
             # More premises than a commit can bind: some are recorded ahead of the start.
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -73,6 +73,10 @@
     ):
         return True
     tasks = 1 if spec["form"] == "array" else spec["entries"]
-    return bool(
-        spec["vcpus"] * tasks > team["cpus_max"] or spec["gpus"] * tasks > team.get("gpus_max", 0.0)
-    )
+    return over_limit(team, spec["vcpus"] * tasks, spec["gpus"] * tasks)
+
+
+def over_limit(team: dict[str, Any], cpus: float, gpus: float) -> bool:
+    """Whether a team that holds so much is over its limit; 0 means that it has none (DEPLOY)."""
+    limits = ((team.get("cpus_max", 0.0), cpus), (team.get("gpus_max", 0.0), gpus))
+    return any(limit > 0 and held > limit for limit, held in limits)
--- a/tests/test_cancelled.py
+++ b/tests/test_cancelled.py
@@ -22,6 +22,8 @@
     until,
     up,
 )
+from sandladder.model import SUSPECT
+from sandladder.records import ROSTER
 from world import World, job, now
 
 LONG_S = 500.0
@@ -163,6 +165,19 @@
     return moves
 
 
+def suspected(world: World, index: int) -> bool:
+    """Whether the agreed roster says that this controller is under suspicion."""
+    roster = world.store.items.get(ROSTER, ({}, 0, None))[0]
+    member = roster.get(f"node-{index}")
+    return member is not None and SUSPECT in member
+
+
+async def called_off(world: World, job_id: str, index: int) -> None:
+    """A user calls off a job at any controller but one."""
+    others = [other for other in range(world.count) if other != index]
+    await world.cancel(job_id, 240, world.rng.choice(others))
+
+
 def cancellations(world: World) -> list[tuple[float, str]]:
     """When the cancellation of which job was committed."""
     found: dict[str, float] = {}
@@ -194,17 +209,30 @@
         placers = [
             value["p"] for key, (value, _, _) in world.store.items.items() if key.startswith("s/t/")
         ]
-        index = int(max(set(placers), key=placers.count).rpartition("-")[2])
+        busiest = max(sorted(set(placers)), key=placers.count)
+        index = int(busiest.rpartition("-")[2])
         over = False
         began = len(team_moves(world))
 
+        left = list(ids)
+        # Called off when the move is seen coming, so that these are committed just before it.
+        first = [left.pop() for _ in range(3)]
+
         async def trouble() -> None:
             nonlocal over
+            if handover is leave:
+                # It hands over as soon as it is told to; so they are called off before that.
+                for job_id in first:
+                    await called_off(world, job_id, index)
             await handover(world, index)
             over = True
 
+        async def forewarned() -> None:
+            await until(lambda: suspected(world, index), 2 * LEASE)
+            for job_id in first:
+                world.network.tasks.start_soon(called_off, world, job_id, index)
+
         async def users() -> None:
-            left = list(ids)
             for number in range(120):
                 if number % 4 == 0 and number // 4 < len(more):
                     world.network.tasks.start_soon(world.submit, more[number // 4], 240)
@@ -226,6 +254,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(trouble)
             tasks.start_soon(users)
+            if handover is not leave:
+                tasks.start_soon(forewarned)
         moves = [at for at, team in team_moves(world)[began:]]
         for at, _ in cancellations(world):
             world.met["within two seconds before a move"] += any(0 <= m - at < 2.0 for m in moves)
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,141 @@
+"""Teams limited in CPUs alone, in GPUs alone, in both or in neither."""
+
+from random import Random
+
+import anyio
+import pytest
+
+from answers import over_limit
+from days import warm
+from helpers import commit, scene, spec
+from meeting import play, until
+from sandladder.lifecycle import Placement, Refused, View, rejection, start, submit
+from sandladder.model import TeamUsage
+from sandladder.quota import NOTHING, headroom, within_guarantee
+from sandladder.settings import TeamLimits
+from world import World, job
+
+GPUS_ALONE = TeamLimits("red", gpus=2.0, gpus_max=4.0)
+CPUS_ALONE = TeamLimits("red", cpus=8.0, cpus_max=16.0)
+NEITHER = TeamLimits("red")
+
+
+def test_none_is_unlimited_and_a_limit_holds_at_its_edge() -> None:
+    held = TeamUsage(12.0, 3.0)
+    gpu_task = spec(vcpus=4.0, gpus=1.0)
+    cpu_task = spec(vcpus=4.0)
+    assert headroom(GPUS_ALONE, held).tasks(gpu_task, 100) == 1
+    assert headroom(GPUS_ALONE, held).tasks(cpu_task, 100) == 100
+    assert headroom(CPUS_ALONE, held).tasks(gpu_task, 100) == 1
+    assert headroom(NEITHER, held).tasks(gpu_task, 100) == 100
+    assert headroom(CPUS_ALONE, TeamUsage(16.0, 0.0)).tasks(cpu_task, 1) == 0
+    assert headroom(CPUS_ALONE, TeamUsage(20.0, 0.0)).tasks(cpu_task, 1) == 0
+    # A team that the settings do not name may start nothing: unknown is not unlimited.
+    assert headroom(None, TeamUsage()) == NOTHING
+    assert not NOTHING.covers(cpu_task)
+
+
+def test_headroom_agrees_with_the_stand_ins_rule() -> None:
+    """Against the stand-in's own reading of the page, over random teams and tasks."""
+    rng = Random(7)
+    for _ in range(2000):
+        limits = TeamLimits(
+            "red", cpus_max=rng.choice([0.0, 4.0, 8.0]), gpus_max=rng.choice([0.0, 2.0, 4.0])
+        )
+        used = TeamUsage(rng.choice([0.0, 2.0, 4.0]), rng.choice([0.0, 1.0, 2.0]))
+        task = spec(vcpus=rng.choice([1.0, 2.0, 4.0]), gpus=rng.choice([0.0, 1.0, 2.0]))
+        tasks = rng.randint(1, 4)
+        after = used.plus(task, tasks)
+        page = {"cpus_max": limits.cpus_max, "gpus_max": limits.gpus_max}
+        if over_limit(page, used.cpus, used.gpus):
+            continue  # what is held already breaks the rule, whatever comes
+        expected = not over_limit(page, after.cpus, after.gpus)
+        assert headroom(limits, used).covers(task, tasks) == expected, (limits, used, task, tasks)
+
+
+def test_a_guarantee_counts_the_resources_in_which_one_is_given() -> None:
+    gpu_task, cpu_task = spec(vcpus=4.0, gpus=1.0), spec(vcpus=4.0)
+    assert within_guarantee(GPUS_ALONE, TeamUsage(400.0, 1.0), gpu_task)
+    assert not within_guarantee(GPUS_ALONE, TeamUsage(0.0, 2.0), gpu_task)
+    assert within_guarantee(GPUS_ALONE, TeamUsage(400.0, 2.0), cpu_task)
+    assert not within_guarantee(CPUS_ALONE, TeamUsage(8.0, 0.0), cpu_task)
+    assert not within_guarantee(NEITHER, TeamUsage(), cpu_task)
+    assert not within_guarantee(None, TeamUsage(), cpu_task)
+
+
+@pytest.mark.parametrize("limits", [GPUS_ALONE, NEITHER])
+def test_jobs_of_a_team_without_a_cpu_limit_are_accepted_and_start(limits: TeamLimits) -> None:
+    """Seen on a deployment with GPU limits alone: each submission was refused for ever."""
+    _, _, mirror, _ = scene()
+    known = {"red": limits}
+    small = spec(1, entries=2, vcpus=2.0)
+    assert rejection(small, mirror.types, known) is None
+    assert rejection(spec(2, bureau="green"), mirror.types, known) == "unknown team"
+    view = View(mirror)
+    submit(view, small, 0.0)
+    commit(mirror, view)
+    view = View(mirror)
+    with pytest.raises(Refused):
+        start(view, small.id, [Placement(0, "vm-1", "north", 1)], None)
+    start(view, small.id, [Placement(0, "vm-1", "north", 1)], limits)
+
+
+@pytest.mark.parametrize("count", [3, 7])
+def test_gangs_of_gpus_in_one_zone_under_a_gpu_limit_alone(count: int) -> None:
+    """Pinned types, large images, and every few minutes spot machines are taken back."""
+    limits = [
+        {"name": "red", "gpus": 4.0, "gpus_max": 8.0},
+        {"name": "blue", "cpus": 8.0, "cpus_max": 16.0},
+        {"name": "green"},
+    ]
+    world = World(1070 + count, count, limits=limits)
+
+    async def reclaim() -> None:
+        for _ in range(4):
+            await anyio.sleep(20.0)
+            spot = [w for w in world.cloud.workers.values() if w.spot and w.state == "running"]
+            for worker in spot[::2]:
+                worker.vanish(False)
+                world.met["spot taken back"] += 1
+
+    async def main() -> None:
+        await warm(world)
+        jobs = [
+            *(
+                job(
+                    number,
+                    form="group",
+                    entries=(1, 2, 4)[number % 3],
+                    vcpus=4.0,
+                    gpus=2.0,
+                    breeds=["large"],
+                    same_place=True,
+                    loaners=False,
+                    rank="urgent",
+                    image_gb=(5.0, 25.0)[number % 2],
+                    parcel=f"img-{number % 2}",
+                    expect_s=10.0,
+                    bookmark_s=3.0,
+                    stamp_s=1.0,
+                )
+                for number in range(6)
+            ),
+            *(job(10 + n, bureau="green", entries=12, vcpus=1.0, expect_s=4.0) for n in range(3)),
+            *(job(20 + n, bureau="blue", entries=6, vcpus=4.0, expect_s=4.0) for n in range(2)),
+        ]
+        for one in jobs:
+            assert await world.submit(one) == 201
+        # Four tasks of 2 GPUs are all that the limit of red allows; five are never accepted.
+        too_many = job(30, form="group", entries=5, vcpus=4.0, gpus=2.0, breeds=["large"])
+        assert await world.submit(too_many) == 422
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reclaim)
+            ids = [one["id"] for one in jobs]
+            left: list[str] = ids
+            while left:
+                left = await world.until_done(left, 60.0)
+                assert world.met["spot taken back"] or left
+            await until(lambda: all(world.is_done(name) for name in ids), 1.0)
+        world.met["all done"] += 1
+
+    play(world, main, "spot taken back", "all done")
--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -15,7 +15,7 @@
 from sandladder import mesh
 from sandladder.lifecycle import Ended, Placement, View, end, start
 from sandladder.mirror import Mirror
-from sandladder.model import Final, Job, Machine, Seen, Summary, Team
+from sandladder.model import Final, Job, Machine, Seen, Summary, TeamUsage
 from sandladder.records import (
     FORM,
     JOB,
@@ -54,7 +54,7 @@
 
 
 def test_other_records_are_read_and_written_again_as_production_wrote_them() -> None:
-    assert read_team(RECORDS["team"]) == Team(12.0, 1.0)
+    assert read_team(RECORDS["team"]) == TeamUsage(12.0, 1.0)
     final = read_final(RECORDS["final"])
     assert final == Final("done", 40)
     assert final_value(final._replace(at=12.0), PLAIN) == RECORDS["final"]
@@ -85,7 +85,7 @@
     for key, value, _ in view.changes():
         assert isinstance(value, list) if key == "s/t/red" else set(value) <= known
     commit(mirror, view)
-    assert mirror.teams["red"] == Team(40.0, 0.0)
+    assert mirror.teams["red"] == TeamUsage(40.0, 0.0)
     view = View(mirror, 200.0)
     live: Job = mirror.jobs["job-000001"]
     assert end(view, [Ended(live.id, t, a, "done") for t, a in live.live.items()], 9.0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,8 @@
 from sandladder.settings import Objective, Settings
 from world import settings
 
+TEAM = '[[deployment.teams]]\nname = "red"\n'
+
 
 def test_settings_name_the_bad_field(tmp_path, capsys) -> None:
     from sandladder.cli import main
@@ -21,6 +23,9 @@
     path = tmp_path / "s.toml"
     path.write_text(good)
     assert main(["--config", str(path), "--check"]) == 0
+    # A guarantee without a limit is no contradiction.
+    path.write_text(good + TEAM + "cpus = 9.0\n")
+    assert main(["--config", str(path), "--check"]) == 0
     for bad, field in (
         (good.replace("lease_s = 18.0", 'lease_s = "long"'), "lease_s"),
         (good.replace("rps = 100", "rps = 0"), "state.rps"),
@@ -29,6 +34,10 @@
         (good.replace("txn_ops = 12", "txn_ops = 3"), "txn_ops"),
         (good.replace("value_kb = 8.0", "value_kb = 1.9"), "value_kb"),
         (good.replace("cancel_s = 40.0", "cancel_s = 19.0"), "workers.cancel_s"),
+        (good + TEAM + "cpus_max = -1.0\n", "teams[0].cpus_max"),
+        (good + TEAM + "gpus = -0.5\n", "teams[0].gpus"),
+        (good + TEAM + "gpus_max = inf\n", "teams[0].gpus_max"),
+        (good + TEAM + "cpus = 9.0\ncpus_max = 8.0\n", "teams[0].cpus"),
         ("= nonsense", "s.toml"),
     ):
         path.write_text(bad)
--- a/tests/world.py
+++ b/tests/world.py
@@ -22,7 +22,7 @@
 import msgspec
 
 import production
-from answers import OVER, Answers, lacking, misfit
+from answers import OVER, Answers, lacking, misfit, over_limit
 from sandladder import control, http, mesh
 from sandladder import settings as settings_module
 from sandladder.http import HttpError, Request, Response
@@ -149,12 +149,28 @@
     return asyncio.get_running_loop().time()
 
 
+class Trace:
+    """Tells a listener of each event of a play in its order; silent while nobody listens."""
+
+    def __init__(self) -> None:
+        self.listener: Callable[[str], None] | None = None
+
+    def note(self, event: str, *details: object) -> None:
+        """Tell of one event, with the virtual time in seconds."""
+        if self.listener is not None:
+            self.listener(f"{now():.6f} {event} {' '.join(map(str, details))}")
+
+
+TRACE = Trace()
+
+
 def settings(
     index: int = 0,
     count: int = 3,
     grown: bool = False,
     version: Any = TODAY,
     cancel_s: float = CANCEL_S,
+    limits: list[dict[str, Any]] | None = None,
     **state: Any,
 ) -> Settings:
     """Settings of one of the world's controllers; grown: ten times the teams, small values."""
@@ -168,7 +184,7 @@
         "external": {"cloud": "cloud:1", "state": "state:1"},
         "deployment": {
             "zones": ZONES,
-            "teams": teams(grown),
+            "teams": teams(grown) if limits is None else limits,
             "objectives": [{"kind": "wait", "class": "web", "within_s": 1.0, "share": 0.9}],
             "workers": {
                 "report_s": 2.0,
@@ -254,6 +270,7 @@
     async def call(self, source: str, target: str, request: Request, timeout: float) -> Response:
         box: list[Response] = []
         arrived = anyio.Event()
+        TRACE.note("request", source, target, request.method, request.path, request.body)
 
         async def carry() -> None:
             await anyio.sleep(self.rng.uniform(0.0005, self.delay_s))
@@ -345,6 +362,7 @@
         if self._world.frames is not None:
             self._world.frames(self._source, self._target, message)
         body = self._mesh._encoder.encode(message)
+        TRACE.note("frame", self._source, self._target, body)
 
         async def carry() -> None:
             await anyio.sleep(self._world.rng.uniform(0.001, 0.01))
@@ -933,8 +951,10 @@
         grown: bool = False,
         old: bool = False,
         cancel_s: float = CANCEL_S,
+        limits: list[dict[str, Any]] | None = None,
         **state: Any,
     ) -> None:
+        self.teams = teams(grown) if limits is None else limits
         self.rng = Random(seed)
         self.count = count
         self.cancel_s = cancel_s
@@ -998,7 +1018,15 @@
                 version = self.versions[index]
                 node = controller(version)(
                     self,
-                    settings(index, self.count, self.grown, version, self.cancel_s, **self.state),
+                    settings(
+                        index,
+                        self.count,
+                        self.grown,
+                        version,
+                        self.cancel_s,
+                        self.teams,
+                        **self.state,
+                    ),
                 )
                 self.nodes[node.node] = node
 
@@ -1128,7 +1156,7 @@
                     used[task.spec["bureau"]] += task.spec["vcpus"]
                     gpus[task.spec["bureau"]] += task.spec["gpus"]
                     placed[task.spec["id"]] += 1
-        limits = {team["name"]: team for team in teams(self.grown)}
+        limits = {team["name"]: team for team in self.teams}
         found = []
         for job_id in sorted(self.accepted):
             spec = self.specs[job_id]
@@ -1142,8 +1170,11 @@
             team = limits[spec["bureau"]]
             if (
                 waiting >= need
-                and used[team["name"]] + need * spec["vcpus"] <= team["cpus_max"]
-                and gpus[team["name"]] + need * spec["gpus"] <= team.get("gpus_max", 0.0)
+                and not over_limit(
+                    team,
+                    used[team["name"]] + need * spec["vcpus"],
+                    gpus[team["name"]] + need * spec["gpus"],
+                )
                 and self._places(spec) >= need
             ):
                 found.append(job_id)
@@ -1207,10 +1238,8 @@
                 told = self.cancelled_at.get(name)
                 if told is not None and now() - told > self.cancel_s:
                     self.breaks("ran_cancelled", task.name)
-        for team in teams(self.grown):
-            if used[team["name"]] > team["cpus_max"] or gpus[team["name"]] > team.get(
-                "gpus_max", 0
-            ):
+        for team in self.teams:
+            if over_limit(team, used[team["name"]], gpus[team["name"]]):
                 self.breaks("quota", f"{team['name']} uses {used[team['name']]}")
 
     # Users
@@ -1244,7 +1273,7 @@
         if answer.status in (200, 201):
             if answer.status == 201:
                 self.answers.anew(job_id, asked)
-                if lacking(spec) or misfit(spec, TYPES, ZONES, teams(self.grown)):
+                if lacking(spec) or misfit(spec, TYPES, ZONES, self.teams):
                     self.breaks("accepted_bad", f"{job_id} can't run or lacks a field")
             first = job_id not in self.accepted
             self.accepted.add(job_id)
