Renting within the cloud's rate, one request an offer; GPU machines kept for GPU work; one zone for gangs

Change: requests to the cloud count against its rate (Budget, now a module), one request an offer and round; the renter knows what is rented and not written; jobs without GPUs leave free GPUs their share of a machine until they have waited four leases; a gang bound to one zone is counted and rented for in one zone.

--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -8,6 +8,7 @@
 import anyio
 
 from sandladder import wire
+from sandladder.budget import Budget
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View, change_fleet, put_types
 from sandladder.model import ListedMachine, Machine, MachineType
@@ -35,17 +36,24 @@
 
 
 class CloudClient:
-    """Requests to the cloud."""
+    """Requests to the cloud, counted against its rate limit."""
 
-    def __init__(self, client: Requester, timeout: float) -> None:
+    def __init__(self, client: Requester, timeout: float, rps: float) -> None:
+        """`timeout` in seconds; `rps`: the requests a second that the cloud takes."""
         self._client = client
         self._timeout = timeout
+        self.requests = Budget(rps)
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
+        self.requests.spend(1)
         try:
             answer = await self._client.request(method, target, body, timeout=self._timeout)
         except HttpError as error:
             raise CloudError(str(error)) from None
+        if answer.status == 429:
+            self.requests.refused(1)
+            raise CloudError("over the rate limit")
+        self.requests.allowed()
         if answer.status == 503 and b"no capacity" in answer.body:
             raise NoCapacity
         if answer.status != 200:
@@ -186,8 +194,11 @@
             log.debug("fleet in cores: %s", self._provision.describe())
         # Asked for all at once: what else this duty sees to should not wait for refusals.
         async with anyio.create_task_group() as tasks:
-            for wish in self._provision.wishes(self._c.wall()):
+            for wish in self._provision.wishes(self._c.wall(), self._news):
+                if self._c.cloud.requests.delay(1) > 0:
+                    break  # the most urgent come first; the rest is worked out anew next time
                 tasks.start_soon(self._rent, wish)
+                await anyio.sleep(0)  # it counts against the limit before the next one is begun
         await self._write()
 
     async def _rent(self, wish: Wish) -> None:
--- a/src/sandladder/control.py
+++ b/src/sandladder/control.py
@@ -113,7 +113,9 @@
             patience_s=self.report_s,
         )
         host, port = split_addr(settings.platform.external.cloud)
-        self.cloud = CloudClient(connect(host, port, keep=2), timeout=self.lease_s / 3)
+        self.cloud = CloudClient(
+            connect(host, port, keep=2), self.lease_s / 3, deployment.cloud.rps
+        )
         self.renter = Renter(self)
         ears = Ears(
             self.node,
--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -35,6 +35,8 @@
 # A machine on which so many different jobs failed in a row is not trusted with more.  One
 # job alone proves nothing: it may fail everywhere.
 SICK_ERRORS = 2
+# After so many leases a job counts as having waited long.
+AGED_LEASES = 4
 # Work without any aim goes last, in the order in which it came.
 _SOME_TIME = 1e9
 # So many boots before it must start, work still waits for the cheaper kind of machine.
@@ -109,6 +111,7 @@
         self.images = Images()
         self.now = 0.0
         self.ahead = 0.0  # how far the time of day is ahead of the steady clock
+        self._gpus_wanted_as_of = (-1, False)  # a revision of the records, and the answer then
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
         self._waits = settings.waits
         self._urgencies: dict[str, _Urgency] = {}
@@ -281,6 +284,28 @@
             self._services[machine] = held
         return held
 
+    def avoids_gpus(self, spec: JobSpec) -> bool:
+        """Whether a job's tasks need no GPU and fit a type that has none, while others need them.
+
+        Seen in a measured day: arrays of small tasks filled the machines with GPUs, and gangs
+        that need whole ones found none free.
+        """
+        if spec.gpus > 0 or not self._gpus_wanted():
+            return False
+        return any(kind.gpus == 0 and kind.fits(spec) for kind in self.mirror.types.values())
+
+    def _gpus_wanted(self) -> bool:
+        """Whether any live job needs GPUs; looked for once for each revision of the records."""
+        if self._gpus_wanted_as_of[0] != self.mirror.revision:
+            wanted = any(job.spec.gpus > 0 for job in self.mirror.jobs.values())
+            self._gpus_wanted_as_of = self.mirror.revision, wanted
+        return self._gpus_wanted_as_of[1]
+
+    def keeps_gpus_free(self, job: Job) -> bool:
+        """Whether a job leaves free GPUs what they may need; not once it has waited for long."""
+        aged_s = AGED_LEASES * self.settings.platform.deployment.workers.lease_s
+        return self.avoids_gpus(job.spec) and self.wall - self.since(job) <= aged_s
+
     def freed(self, machine: str) -> bool:
         """Whether nothing runs there any more, committed or not."""
         if machine not in self.mirror.on_machine:
@@ -512,6 +537,16 @@
     return fits(spec, room.cpus, room.gpus, room.memory_gb)
 
 
+def beside_gpus(room: Room, kind: MachineType) -> Room:
+    """What a machine's room leaves next to what its free GPUs may need of it."""
+    if room.gpus <= 0 or kind.gpus <= 0:
+        return room
+    share = room.gpus / kind.gpus
+    return room._replace(
+        cpus=room.cpus - share * kind.cpus, memory_gb=room.memory_gb - share * kind.memory_gb
+    )
+
+
 def less(room: Room, spec: JobSpec) -> Room:
     """What is left of a machine's room with one task more."""
     return room._replace(
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -16,7 +16,7 @@
 from sandladder.lifecycle import Placement
 from sandladder.limits import Limits
 from sandladder.model import GANG, HIGH, LOW, SERVICE, Job, JobSpec, TeamUsage
-from sandladder.picture import Picture, allowed, holds, less, likeness
+from sandladder.picture import Picture, allowed, beside_gpus, holds, less, likeness
 from sandladder.premises import Intent, Room
 from sandladder.reservation import Reservation
 
@@ -96,7 +96,7 @@
                 break
             held.turn(job)
             known = pending.setdefault(job.id, [])
-            like = likeness(job.spec, picture.patient(job))
+            like = (*likeness(job.spec, picture.patient(job)), picture.keeps_gpus_free(job))
             found: list[Intent] = []
             if like not in able or able[like]:
                 found = self._place(job, rooms, able, known, spent, at_hand)
@@ -149,17 +149,19 @@
             return []
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
         patient = picture.patient(job)
-        like = likeness(spec, patient)
+        keeps = picture.keeps_gpus_free(job)
+        like = (*likeness(spec, patient), keeps)
         known = able.get(like)
-        like_rooms = able[like] = (
-            {
-                m: room
-                for m, room in rooms.items()
-                if allowed(spec, room) and holds(room, spec) and (room.spot or not patient)
-            }
-            if known is None
-            else {m: rooms[m] for m in known if holds(rooms[m], spec)}
-        )
+        offered = rooms if known is None else {m: rooms[m] for m in known}
+        if keeps:
+            types = picture.mirror.types
+            offered = {m: beside_gpus(room, types[room.type]) for m, room in offered.items()}
+        like_rooms = able[like] = {
+            m: room
+            for m, room in offered.items()
+            if holds(room, spec)
+            and (known is not None or (allowed(spec, room) and (room.spot or not patient)))
+        }
         if at_hand:
             like_rooms = {
                 m: room for m, room in like_rooms.items() if picture.fetch_s(spec, room) <= 0
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections import Counter, deque
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from sandladder.model import (
@@ -53,24 +53,35 @@
 class _Bin:
     """Room on a machine that is there, boots, or would be rented."""
 
-    __slots__ = ("offer", "cpus", "gpus", "memory_gb")
+    __slots__ = ("kind", "offer", "cpus", "gpus", "memory_gb")
 
     def __init__(self, kind: MachineType, zone: str, spot: bool) -> None:
+        self.kind = kind
         self.offer = (kind.name, zone, spot)
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb
 
-    def take(self, spec: JobSpec, most: int) -> int:
-        """Take in up to so many tasks; how many it were."""
-        number = min(most, int((self.cpus + EPSILON) / spec.cpus))
+    def tasks(self, spec: JobSpec, most: int, keep_gpus: bool = False) -> int:
+        """How many tasks fit, up to so many; `keep_gpus`: next to what free GPUs may need."""
+        cpus, memory_gb = self.cpus, self.memory_gb
+        if keep_gpus and self.gpus > 0:
+            share = self.gpus / self.kind.gpus
+            cpus -= share * self.kind.cpus
+            memory_gb -= share * self.kind.memory_gb
+        number = min(most, int((cpus + EPSILON) / spec.cpus))
         if spec.gpus > 0:
             number = min(number, int((self.gpus + EPSILON) / spec.gpus))
         if spec.memory_gb > 0:
-            number = min(number, int((self.memory_gb + EPSILON) / spec.memory_gb))
+            number = min(number, int((memory_gb + EPSILON) / spec.memory_gb))
+        return max(0, number)
+
+    def take(self, spec: JobSpec, most: int, keep_gpus: bool = False) -> int:
+        """Take in up to so many tasks; how many it were."""
+        number = self.tasks(spec, most, keep_gpus)
         if number > 0:
             self.cpus -= number * spec.cpus
             self.gpus -= number * spec.gpus
             self.memory_gb -= number * spec.memory_gb
-        return max(0, number)
+        return number
 
 
 class _Zones:
@@ -146,12 +157,19 @@
             recent.append((now, spec))
         self._known = set(jobs)
 
-    def wishes(self, wall: float) -> list[Wish]:
-        """What to rent now."""
+    def wishes(
+        self, wall: float, unwritten: Mapping[str, Machine | None] | None = None
+    ) -> list[Wish]:
+        """What to rent now, the most urgent first, at the time of day `wall` in seconds.
+
+        `unwritten` are machines' records that are not in the fleet records yet.  Seen in a
+        measured day: what had just been rented was rented again until it was written down.
+        """
         picture = self.picture
         if not picture.mirror.types:
             return []
-        bins = self._bins(wall)
+        fleet = picture.mirror.fleet | {m: r for m, r in (unwritten or {}).items() if r}
+        bins = self._bins(wall, fleet)
         lacking: list[_Lack] = []
         teams = dict(picture.mirror.used)
         ready = picture.mirror.pipelines.ready
@@ -170,9 +188,12 @@
             if spec.kind != SERVICE:
                 waiting[patient] += count * spec.cpus
             zones, like = _Zones.of(job), likeness(spec, patient)
+            keep_gpus = picture.avoids_gpus(spec)
+            if spec.one_zone and zones is None and count:
+                zones = self._one_zone(spec, count, bins)
             missing = count
             if like not in full:
-                missing -= self._fill(spec, count, bins, patient, zones)
+                missing -= self._fill(spec, count, bins, patient, zones, keep_gpus)
                 if missing and zones is None:
                     full.add(like)
             backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
@@ -185,7 +206,10 @@
         for machine, record in picture.mirror.fleet.items():
             if record.state == "draining":
                 for job, _, _ in picture.mirror.attempts_on(machine):
-                    if job.spec.kind == SERVICE and not self._fill(job.spec, 1, bins):
+                    keep_gpus = picture.avoids_gpus(job.spec)
+                    if job.spec.kind == SERVICE and not self._fill(
+                        job.spec, 1, bins, keep_gpus=keep_gpus
+                    ):
                         lacking.append(_Lack(job.spec, True, 1))
         for lack in lacking:
             log.debug(
@@ -196,13 +220,14 @@
         lacking += [_Lack(spec, not spec.spot, n, zones) for spec, n, zones in self._spares(bins)]
         return self._rent(lacking)
 
-    def _bins(self, wall: float, without: Collection[str] = ()) -> list[_Bin]:
+    def _bins(
+        self, wall: float, fleet: Mapping[str, Machine], without: Collection[str] = ()
+    ) -> list[_Bin]:
         picture = self.picture
         bins = []
         self._capacity = {True: 0.0, False: 0.0}
         heard = dict.fromkeys(picture.machines())
         self._came_up |= heard
-        fleet = picture.mirror.fleet
         self._came_up = {m: None for m in self._came_up if m in heard or m in fleet}
         for machine in heard:
             room = picture.room(machine)
@@ -212,7 +237,7 @@
                 self._capacity[room.spot] += cpus - picture.services(machine)
                 if machine not in without:
                     bins.append(self._bin(room))
-        for machine, record in picture.mirror.fleet.items():
+        for machine, record in fleet.items():
             kind = picture.mirror.types.get(record.type)
             if record.state != "rented" or machine in self._came_up or kind is None:
                 continue
@@ -231,6 +256,34 @@
         teams[spec.team] = usage.plus(spec, count)
         return count
 
+    def _one_zone(self, spec: JobSpec, tasks: int, bins: list[_Bin]) -> _Zones:
+        """The zone in which tasks that must share one find room soonest.
+
+        The one with the most room, if that is enough or more can be rented there.  Without
+        this, room for parts of a gang in several zones was counted as room for the gang.
+        """
+        room = Counter({zone: 0 for kind in self._types_for(spec) for zone in kind.zones})
+        for found in bins:
+            if allowed(spec, Machine(*found.offer, "up", 0.0)):
+                room[found.offer[1]] += found.tasks(spec, tasks)
+        order = sorted(room, key=lambda zone: (-room[zone], zone))
+        able = [z for z in order if room[z] >= tasks or self._offered(spec, z)]
+        chosen = next(iter(able or order), None)
+        return _Zones(tasks, Counter(), chosen)
+
+    def _types_for(self, spec: JobSpec) -> list[MachineType]:
+        return [kind for kind in self.picture.mirror.types.values() if kind.fits(spec)]
+
+    def _offered(self, spec: JobSpec, zone: str) -> bool:
+        """Whether a machine for such tasks may be rented in a zone, as far as the cloud said."""
+        now = self.picture.now
+        return any(
+            self._refused.get((kind.name, zone, spot), 0.0) <= now
+            for kind in self._types_for(spec)
+            if zone in kind.zones
+            for spot in ([True, False] if spec.spot else [False])
+        )
+
     @staticmethod
     def _fill(
         spec: JobSpec,
@@ -238,9 +291,12 @@
         bins: list[_Bin],
         patient: bool = False,
         zones: _Zones | None = None,
+        keep_gpus: bool = False,
     ) -> int:
         """Put up to so many tasks into the bins, of the cheaper kind if patient; how many fit.
 
+        `keep_gpus`: they leave free GPUs what those may need of their machine.
+
         Room in a zone that may take no more of them is none.  Found by a search: replicas that
         must be spread waited for a zone without room, while the full zone's idle room counted.
         """
@@ -258,7 +314,7 @@
             if suited:
                 zone = found.offer[1]
                 most = left if zones is None else min(left, zones.left(zone))
-                taken = found.take(spec, most)
+                taken = found.take(spec, most, keep_gpus)
                 if zones is not None:
                     zones.take(zone, taken)
                 left -= taken
@@ -370,7 +426,10 @@
                 ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
             zones = _Zones((count + 1) // 2, Counter()) if spec.spread else None
-            missing = count - self._fill(spec, count, bins, zones=zones)
+            if spec.one_zone and count:
+                zones = self._one_zone(spec, count, bins)
+            keep_gpus = self.picture.avoids_gpus(spec)
+            missing = count - self._fill(spec, count, bins, zones=zones, keep_gpus=keep_gpus)
             if missing:
                 lacking.append((spec, missing, zones))
         return lacking
@@ -390,7 +449,10 @@
         fleet = Counter((m.type, m.zone, m.spot) for m in self.picture.mirror.fleet.values())
         least = min((lack.spec.cpus for lack in lacking), default=0.0)
         for index, lack in enumerate(lacking):
-            count = lack.number - self._fill(lack.spec, lack.number, fresh, zones=lack.zones)
+            keep_gpus = self.picture.avoids_gpus(lack.spec)
+            count = lack.number - self._fill(
+                lack.spec, lack.number, fresh, zones=lack.zones, keep_gpus=keep_gpus
+            )
             while count > 0:
                 choice = self._cheapest(count, lacking, index, wanted, fleet)
                 if choice is None:
@@ -401,10 +463,10 @@
                 count -= self._fill(lack.spec, count, [new], zones=lack.zones)
                 if new.cpus + EPSILON >= least:
                     fresh.append(new)
+        # One request an offer: whether there are more of it is known once that is answered.
         return [
-            Wish(t, z, s, min(_MOST_HIRED, number - done))
-            for (t, z, s), number in wanted.items()
-            for done in range(0, number, _MOST_HIRED)
+            Wish(kind, zone, spot, min(_MOST_HIRED, number))
+            for (kind, zone, spot), number in wanted.items()
         ]
 
     def _cheapest(
@@ -421,8 +483,9 @@
         picture, lack = self.picture, lacking[index]
         spec = lack.spec
         best: tuple[float, MachineType, str, bool] | None = None
+        avoids_gpus = picture.avoids_gpus(spec)
         for kind in picture.mirror.types.values():
-            if not kind.fits(spec):
+            if not kind.fits(spec) or (avoids_gpus and kind.gpus > 0):
                 continue
             used = self._used(kind, count, lacking, index)
             kinds = [True] * spec.spot + [False] * (lack.any_kind or not spec.spot)
@@ -600,7 +663,9 @@
                 kept.append((machine, self._bin(room)))
         # The dearest go first; spares are put on what is in use anyway, then on the cheapest.
         kept.sort(key=lambda item: (not item[1].offer[2], item[1].cpus, item[0]))
-        self._spares([*self._bins(wall, set(idle)), *(found for _, found in kept)])
+        self._spares(
+            [*self._bins(wall, picture.mirror.fleet, set(idle)), *(found for _, found in kept)]
+        )
         whole = picture.mirror.types
         free = [
             (machine, found) for machine, found in kept if found.cpus == whole[found.offer[0]].cpus
--- a/src/sandladder/reservation.py
+++ b/src/sandladder/reservation.py
@@ -2,7 +2,7 @@
 
 Whatever comes free piece by piece goes to whoever fits a piece.  A gang, or a task that takes most
 of a machine, would be passed over for as long as small work comes.  So once it has waited for some
-leases (`_AGED_LEASES`), the machines on which it would soonest fit as a whole are kept for it from
+leases (`AGED_LEASES`), the machines on which it would soonest fit as a whole are kept for it from
 all that comes after it in the order: what is more urgent, or within a guarantee where it is not, is
 not held up.  One job at a time has a reservation, the first in the order, and it ends: what runs on
 these machines ends, and nothing of equal or lesser claim takes its place.  Pure: no I/O, no clock.
@@ -12,12 +12,9 @@
 from typing import NamedTuple
 
 from sandladder.model import GANG, SERVICE, Job, JobSpec, MachineType
-from sandladder.picture import Picture, allowed
+from sandladder.picture import AGED_LEASES, Picture, allowed
 from sandladder.premises import Room
 
-# After how many worker leases of waiting a job is aged.
-_AGED_LEASES = 4
-
 
 class _Place(NamedTuple):
     """A machine with the tasks of a job that it could hold when its other work has ended."""
@@ -34,7 +31,7 @@
     def __init__(self, picture: Picture) -> None:
         self._picture = picture
         workers = picture.settings.platform.deployment.workers
-        self._aged_s = _AGED_LEASES * workers.lease_s
+        self._aged_s = AGED_LEASES * workers.lease_s
         self._again_s = workers.report_s
         self.job: str | None = None
         self.machines: frozenset[str] = frozenset()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,11 +5,12 @@
 
 import anyio
 
+from sandladder.budget import Budget
 from sandladder.http import Response
 from sandladder.lifecycle import View
 from sandladder.limits import Limits
 from sandladder.mirror import Mirror
-from sandladder.store import Budget, Change, Committer, StateClient
+from sandladder.store import Change, Committer, StateClient
 from sandladder.wire import dumps
 from world import settings
 
