--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -144,8 +144,8 @@
                 return []
         else:
             most = min(most, self.most_live(spec) - len(job.live) - len(taken))
-        tasks = list(islice((t for t in job.pending() if t not in taken), max(0, most)))
-        if not tasks:
+        count = min(most, job.waiting - len(taken))
+        if count <= 0:
             return []
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
         patient = picture.patient(job)
@@ -169,11 +169,14 @@
         in_time = self.in_time(job)
         if in_time is not None:
             like_rooms = {m: room for m, room in like_rooms.items() if in_time(room)}
-        chosen = self.choose(spec, like_rooms, zones, len(tasks))
+        chosen = self.choose(spec, like_rooms, zones, count) if like_rooms else []
         if not chosen or (spec.kind == GANG and len(chosen) < job.waiting):
             return []
+        # Which tasks they are is looked up for those alone that found a place.  Seen in a measured
+        # day: all waiting tasks of arrays of two thousand were listed in each round.
+        tasks = islice((task for task in job.pending() if task not in taken), len(chosen))
         found = []
-        for task, room in zip(tasks, chosen, strict=False):
+        for task, room in zip(tasks, chosen, strict=True):
             rooms[room.id] = less(rooms[room.id], spec)
             placement = Placement(task, room.id, room.zone, room.session)
             found.append(Intent(spec, placement, room.clerk, job.awaits))
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -118,6 +118,19 @@
     zones: "_Zones | None" = None  # where they may be, if not anywhere
 
 
+class _Backlog:
+    """The work that waits, as it adds up in the order in which jobs get room."""
+
+    def __init__(self) -> None:
+        self.core_s = 0.0
+        self.gpu_s = 0.0
+
+    def add(self, spec: JobSpec, tasks: int, seconds: float) -> None:
+        """So many tasks of a job, each taking so long."""
+        self.core_s += tasks * spec.cpus * seconds
+        self.gpu_s += tasks * spec.gpus * seconds
+
+
 class Provisioner:
     """Decides on rentals and returns for the whole fleet."""
 
@@ -132,8 +145,9 @@
         self._known: set[str] = set()
         self._pressed = False  # some work lacks room
         self._wasteful_since: dict[str, float] = {}
-        # Cores of all machines that can be counted on, spot or not, but for services.
+        # Cores of all machines that can be counted on, spot or not, but for services; and GPUs.
         self._capacity = {True: 0.0, False: 0.0}
+        self._gpu_capacity = {True: 0.0, False: 0.0}
         self._came_up: dict[str, None] = {}  # machines that have reported
         # When, and how many cores were in use or asked for: by what cannot wait, and by all.
         self._demand: deque[tuple[float, float, float]] = deque()
@@ -177,7 +191,7 @@
             (job for job in picture.mirror.jobs.values() if job.waiting and ready(job)),
             key=picture.order_key,
         )
-        backlog = 0.0
+        backlog = _Backlog()
         waiting = {True: 0.0, False: 0.0}
         # Likenesses of tasks that found no room: it only gets less.  Seen in a measured day: with
         # two hundred jobs waiting, each was tried on each of six hundred machines every second.
@@ -196,7 +210,7 @@
                 missing -= self._fill(spec, count, bins, patient, zones, keep_gpus)
                 if missing and zones is None:
                     full.add(like)
-            backlog += count * spec.cpus * (spec.estimate_s or self._lease_s)
+            backlog.add(spec, count, spec.estimate_s or self._lease_s)
             if missing:
                 worth = self._worth(job, missing, backlog, wall - picture.since(job), patient)
                 lacking += [lack._replace(zones=zones) for lack in worth]
@@ -226,6 +240,7 @@
         picture = self.picture
         bins = []
         self._capacity = {True: 0.0, False: 0.0}
+        self._gpu_capacity = {True: 0.0, False: 0.0}
         heard = dict.fromkeys(picture.machines())
         self._came_up |= heard
         self._came_up = {m: None for m in self._came_up if m in heard or m in fleet}
@@ -233,18 +248,20 @@
             room = picture.room(machine)
             if room is not None and room.usable:
                 # What services hold serves no other work.
-                cpus = picture.mirror.types[room.type].cpus
-                self._capacity[room.spot] += cpus - picture.services(machine)
+                kind = picture.mirror.types[room.type]
+                self._capacity[room.spot] += kind.cpus - picture.services(machine)
+                self._gpu_capacity[room.spot] += kind.gpus
                 if machine not in without:
                     bins.append(self._bin(room))
         for machine, record in fleet.items():
-            kind = picture.mirror.types.get(record.type)
-            if record.state != "rented" or machine in self._came_up or kind is None:
+            booting = picture.mirror.types.get(record.type)
+            if record.state != "rented" or machine in self._came_up or booting is None:
                 continue
             # A boot that takes long is no longer counted on.
-            if wall - record.since <= 2.5 * kind.boot_s:
-                self._capacity[record.spot] += kind.cpus
-                bins.append(_Bin(kind, record.zone, record.spot))
+            if wall - record.since <= 2.5 * booting.boot_s:
+                self._capacity[record.spot] += booting.cpus
+                self._gpu_capacity[record.spot] += booting.gpus
+                bins.append(_Bin(booting, record.zone, record.spot))
         bins.sort(key=lambda b: (not b.offer[2], b.cpus))
         return bins
 
@@ -341,9 +358,9 @@
         return next((limit for limit in late if limit >= up_s), late[-1])
 
     def _worth(
-        self, job: Job, missing: int, backlog: float, age_s: float, patient: bool
+        self, job: Job, missing: int, work: _Backlog, age_s: float, patient: bool
     ) -> list[_Lack]:
-        """What to rent for waiting tasks of a job, behind a backlog in core seconds.
+        """What to rent for waiting tasks of a job, behind a backlog.
 
         A machine rented now is of use only after its boot; until then, or until the job must
         start, the machines that are there eat the backlog.  Only what they leave is worth an
@@ -354,18 +371,22 @@
         if spec.kind == SERVICE or priority >= PRODUCTION:
             return [_Lack(spec, True, missing)]
         boot_s, allowance = picture.boot_s(spec), self._allowance_s(job, age_s)
-        capacity = self._capacity[True] if spec.spot else 0.0
+        # Work that needs GPUs waits for those alone, whatever cores there are.
+        scarce = spec.gpus > 0
+        backlog, need = (work.gpu_s, spec.gpus) if scarce else (work.core_s, spec.cpus)
+        machines = self._gpu_capacity if scarce else self._capacity
+        capacity = machines[True] if spec.spot else 0.0
         if not patient:
-            capacity += self._capacity[False]
+            capacity += machines[False]
         horizon = max(boot_s, allowance - age_s - boot_s)
         left = backlog - capacity * horizon
         lacks = []
         if left > 0:
             span_s = max(horizon - boot_s, spec.estimate_s or self._lease_s)
-            more = min(missing, math.ceil(left / span_s / spec.cpus))
+            more = min(missing, math.ceil(left / span_s / need))
             lacks.append(_Lack(spec, True, more))
             missing -= more
-        eta_s = age_s + backlog / max(capacity, spec.cpus)
+        eta_s = age_s + backlog / max(capacity, need)
         early = priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
         if spec.spot and early and missing:
             lacks.append(_Lack(spec, False, missing))
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -205,6 +205,10 @@
 async def zone_alone(world: World) -> None:
     """A zone with workers and a controller is cut off from everything else."""
     await anyio.sleep(4.0)
+    # It is a meeting only where work runs inside: there is none before that.
+    with anyio.move_on_after(10 * LEASE):
+        while not any(worker.zone == ZONES[1] for worker, _ in world.present()):
+            await anyio.sleep(0.1)
     hosts = ["state", "cloud", "user", *(f"node-{i}" for i in range(world.count))]
     inside = [w.name for w in up(world) if w.zone == ZONES[1]] + ["node-1"]
     for one in inside:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,7 +6,7 @@
 from helpers import LIMITS, accept, commit, scene
 from sandladder.eviction import Evictor
 from sandladder.lifecycle import Ended, Placement, View, end, start
-from sandladder.model import JobSpec, Machine, Report, Seen
+from sandladder.model import JobSpec, Machine, Ranges, Report, Seen
 from sandladder.picture import Picture
 from sandladder.provision import Provisioner
 from sandladder.reservation import Reservation
@@ -174,3 +174,25 @@
         seq += 1
     assert len(looked) == 5
     assert max(looked.values()) <= 11
+
+
+def test_waiting_tasks_are_listed_only_as_far_as_places_are_found(monkeypatch) -> None:
+    """A full fleet costs nothing for each waiting task; seen with arrays of two thousand."""
+    picture, planner, mirror, _ = scene(value_kb=16.0)
+    monkeypatch.setitem(picture.limits, "red", TeamLimits("red"))
+    big = accept(mirror, entries=2000, vcpus=1.0, ram_gb=0.1)
+    listed = 0
+    gaps = Ranges.gaps
+
+    def counted(self: Ranges, end: int):
+        nonlocal listed
+        for task in gaps(self, end):
+            listed += 1
+            yield task
+
+    monkeypatch.setattr(Ranges, "gaps", counted)
+    placed = planner.plan([big], {})
+    # Two machines of 4 and 16 CPUs; each of its places costs a step, beside those taken already.
+    assert len(placed) == 20 and listed <= 20
+    listed = 0
+    assert planner.plan([big], {}) == [] and listed == 0
--- /dev/null
+++ b/tests/test_renting.py
@@ -0,0 +1,183 @@
+"""What is rented: within the cloud's rate, once, and the kind of machine that the work needs."""
+
+from random import Random
+
+import anyio
+import pytest
+
+from helpers import accept, scene
+from sandladder.cloud import CloudClient, CloudError
+from sandladder.http import Response
+from sandladder.model import Machine, MachineType, Report
+from sandladder.picture import Picture
+from sandladder.provision import Provisioner
+from sandladder.settings import TeamLimits
+from world import VirtualLoop
+
+GPU_TYPE = MachineType("gpu", 12.0, 2.0, 48.0, 20.0, 1.0, 5.0, 1.0, 9.0, ("north", "south"))
+GPU_TASK = {"vcpus": 10.0, "gpus": 2.0, "ram_gb": 30.0, "breeds": ["gpu"]}
+
+
+def with_gpus(machines: dict[str, str]):
+    """The scene with machines that have GPUs, by name and zone."""
+    picture, planner, mirror, delivery = scene()
+    picture.limits["red"] = TeamLimits("red")
+    mirror.types["gpu"] = GPU_TYPE
+    for name, zone in machines.items():
+        report = Report(name, f"{name}:1", "gpu", zone, False, 1, 1, 1, None, ())
+        picture.heard(delivery.heard(report, 0.0, direct=False).dialogue)
+    return picture, planner, mirror
+
+
+def rented(picture: Picture, **unwritten: Machine) -> dict[tuple[str, str], int]:
+    found: dict[tuple[str, str], int] = {}
+    for wish in Provisioner(picture).wishes(0.0, unwritten):
+        key = wish.type, wish.zone
+        found[key] = found.get(key, 0) + wish.number
+    return found
+
+
+def test_one_request_an_offer_and_nothing_twice() -> None:
+    """Seen in a measured day: five requests of 50 for one offer at once, and all of them again."""
+    picture, _, mirror, _ = scene()
+    picture.limits["red"] = TeamLimits("red")
+    accept(mirror, entries=2000, vcpus=4.0, ram_gb=1.0, rank="urgent")
+    wishes = Provisioner(picture).wishes(0.0)
+    offers = [(wish.type, wish.zone, wish.spot) for wish in wishes]
+    assert offers and len(offers) == len(set(offers))
+    picture, _, mirror, _ = scene()
+    accept(mirror, entries=12, vcpus=4.0, ram_gb=1.0, rank="urgent")
+    wished = Provisioner(picture).wishes(0.0)
+    unwritten = {
+        f"vm-{wish.zone}-{wish.type}-{number}": Machine(
+            wish.type, wish.zone, wish.spot, "rented", 0.0
+        )
+        for wish in wished
+        for number in range(wish.number)
+    }
+    assert unwritten
+    assert Provisioner(picture).wishes(0.0, unwritten) == []
+
+
+def test_work_without_gpus_leaves_the_machines_with_gpus_alone() -> None:
+    picture, planner, mirror = with_gpus({"vm-8": "north", "vm-9": "south"})
+    gang = accept(mirror, entries=1, form="group", **GPU_TASK)
+    small = accept(mirror, number=2, entries=100, vcpus=1.0, ram_gb=1.0)
+    placed = planner.plan([gang, small], {})
+    taken = next(i.placement.machine for i in placed if i.spec is gang.spec)
+    where = {intent.placement.machine for intent in placed if intent.spec is small.spec}
+    assert where == {"vm-1", "vm-2", taken}
+    # Nor is any rented for it, whatever else is refused.
+    provisioner = Provisioner(picture)
+    for wish in provisioner.wishes(0.0):
+        provisioner.refused(wish)
+    assert not any(wish.type == "gpu" for wish in provisioner.wishes(0.0))
+
+
+def test_what_gpus_in_use_leave_of_their_machine_may_be_used() -> None:
+    picture, planner, mirror = with_gpus({"vm-8": "north"})
+    gang = accept(mirror, entries=1, form="group", **GPU_TASK)
+    planner.plan([gang], {})
+    small = accept(mirror, number=2, entries=100, vcpus=1.0, ram_gb=1.0)
+    placed = planner.plan([gang, small], {})
+    beside = [i for i in placed if i.spec is small.spec and i.placement.machine == "vm-8"]
+    assert len(beside) == 2
+
+
+def test_work_that_has_waited_long_may_use_idle_machines_with_gpus() -> None:
+    """No job is left waiting while a machine that fits has room."""
+    picture, planner, mirror = with_gpus({"vm-8": "north"})
+    accept(mirror, entries=1, form="group", **GPU_TASK | {"vcpus": 11.0, "breeds": ["small"]})
+    small = accept(mirror, number=2, entries=100, vcpus=1.0, ram_gb=1.0)
+    lease_s = picture.settings.platform.deployment.workers.lease_s
+    planner.plan([small], {})
+    assert not [i for i in picture.gate.pending.values() if i.placement.machine == "vm-8"]
+    picture.ahead = 4 * lease_s + 1.0
+    planner.plan([small], {})
+    assert [i for i in picture.gate.pending.values() if i.placement.machine == "vm-8"]
+
+
+def test_without_gpu_work_every_machine_serves() -> None:
+    _, planner, mirror = with_gpus({"vm-8": "north"})
+    small = accept(mirror, entries=100, vcpus=1.0, ram_gb=1.0)
+    assert "vm-8" in {intent.placement.machine for intent in planner.plan([small], {})}
+
+
+def test_a_gang_bound_to_one_zone_is_rented_for_in_one_zone() -> None:
+    """Machines for two of its tasks in each of two zones are no room for a gang of four."""
+    picture, planner, mirror = with_gpus(
+        {f"vm-{6 + n}": ("north", "south")[n % 2] for n in range(4)}
+    )
+    gang = accept(
+        mirror,
+        entries=4,
+        form="group",
+        same_place=True,
+        loaners=False,
+        due_s=60.0,
+        expect_s=50.0,
+        **GPU_TASK,
+    )
+    assert planner.plan([gang], {}) == []
+    found = rented(picture)
+    assert len(found) == 1 and list(found.values()) == [2]
+    # Where one zone's offers are refused, the other is filled.
+    provisioner = Provisioner(picture)
+    (first,) = provisioner.wishes(0.0)
+    provisioner.refused(first)
+    (second,) = provisioner.wishes(0.0)
+    assert second.zone != first.zone and second.number == 2
+
+
+@pytest.mark.parametrize("rps", [3.0, 8.0])
+def test_requests_to_the_cloud_keep_to_its_rate(rps: float) -> None:
+    """A stand-in that refuses above the rate, with bursts of two seconds' worth, never has to."""
+    refused = 0
+
+    class Rated:
+        def __init__(self) -> None:
+            self.tokens, self.at = 2 * rps, anyio.current_time()
+
+        async def request(self, method: str, target: str, body: bytes = b"", *, timeout: float):
+            nonlocal refused
+            now = anyio.current_time()
+            self.tokens = min(2 * rps, self.tokens + (now - self.at) * rps)
+            self.at = now
+            if self.tokens < 1:
+                refused += 1
+                return Response(429)
+            self.tokens -= 1
+            return Response(200)
+
+        async def aclose(self) -> None:
+            pass
+
+    async def main() -> None:
+        client, rng, sent = CloudClient(Rated(), 4.0, rps), Random(3), 0
+        while anyio.current_time() < 1060.0:
+            while client.requests.delay(1) <= 0:
+                sent += 1
+                await client.give_back(["vm-1"])
+            await anyio.sleep(rng.uniform(0.01, 1.0))
+        assert sent > 0.4 * rps * 60.0
+
+    anyio.run(main, backend_options={"loop_factory": VirtualLoop})
+    assert refused == 0
+
+
+def test_a_refusal_over_the_rate_slows_the_requests_down() -> None:
+    class Refusing:
+        async def request(self, method: str, target: str, body: bytes = b"", *, timeout: float):
+            return Response(429)
+
+        async def aclose(self) -> None:
+            pass
+
+    async def main() -> None:
+        client = CloudClient(Refusing(), 4.0, 3.0)
+        assert client.requests.delay(1) <= 0
+        with pytest.raises(CloudError):
+            await client.give_back(["vm-1"])
+        assert client.requests.delay(1) > 0
+
+    anyio.run(main, backend_options={"loop_factory": VirtualLoop})
