Urgent gangs hold their machines at once; only starved work may use what is kept for GPU work

Each GPU that came free went to an array of lesser priority, and arrays without GPUs older than four leases filled the machines with GPUs. Change: each urgent gang that finds no room has a reservation; a job without GPUs may use a GPU machine only when nothing of it was started for four leases, one task at a time.

--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -111,6 +111,7 @@
         self.images = Images()
         self.now = 0.0
         self.ahead = 0.0  # how far the time of day is ahead of the steady clock
+        self._started_at: dict[str, float] = {}  # when a task of a job was last started
         self._gpus_wanted_as_of = (-1, False)  # a revision of the records, and the answer then
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
         self._waits = settings.waits
@@ -302,9 +303,14 @@
         return self._gpus_wanted_as_of[1]
 
     def keeps_gpus_free(self, job: Job) -> bool:
-        """Whether a job leaves free GPUs what they may need; not once it has waited for long."""
+        """Whether a job leaves free GPUs what they may need; not once it is starved."""
+        return self.avoids_gpus(job.spec) and not self._starved(job)
+
+    def _starved(self, job: Job) -> bool:
+        """Whether nothing of a job has been started for long, as far as this process saw."""
         aged_s = AGED_LEASES * self.settings.platform.deployment.workers.lease_s
-        return self.avoids_gpus(job.spec) and self.wall - self.since(job) <= aged_s
+        started_at = self._started_at.get(job.id, -math.inf)
+        return min(self.wall - self.since(job), self.now - started_at) > aged_s
 
     def freed(self, machine: str) -> bool:
         """Whether nothing runs there any more, committed or not."""
@@ -375,6 +381,7 @@
 
     def note_start(self, spec: JobSpec, attempt: Attempt) -> None:
         """Learn from a committed start which image its machine has or fetches."""
+        self._started_at[spec.id] = self.now
         known = self.mirror.fleet.get(attempt.machine)
         sight = self.sight(attempt.machine)
         name = sight.seen.type if sight else known.type if known else ""
@@ -472,6 +479,7 @@
         self.images.keep(known)
         jobs = self.mirror.jobs
         self._urgencies = {j: u for j, u in self._urgencies.items() if j in jobs}
+        self._started_at = {j: at for j, at in self._started_at.items() if j in jobs}
         self._touched = {m: v for m, v in self._touched.items() if m in known}
         self._left = {m: v for m, v in self._left.items() if m in known}
         self._services = {m: v for m, v in self._services.items() if m in known}
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -90,7 +90,7 @@
         admitted: list[Intent] = []
         # By likeness of tasks, the machines that had room for one: it only gets less.
         able: dict[tuple[object, ...], dict[str, Room]] = {}
-        held = _Held(self.reservation, rooms, able, picture)
+        held = _HeldRooms(self.reservation, rooms, able, picture)
         for job, at_hand in _rounds(jobs, picture):
             if left <= 0:
                 break
@@ -101,7 +101,7 @@
             if like not in able or able[like]:
                 found = self._place(job, rooms, able, known, spent, at_hand)
             if not found:
-                if not (known or at_hand) and self.reservation.job is None and aged(job):
+                if not (known or at_hand) and self.reservation.may_hold(job):
                     self._reserve(job, spent)
                 continue
             if job.id in mine:
@@ -150,6 +150,8 @@
         zones = [a.zone for a in job.live.values()] + [i.placement.zone for i in waiting]
         patient = picture.patient(job)
         keeps = picture.keeps_gpus_free(job)
+        if not keeps and picture.avoids_gpus(spec):
+            count = 1  # it is starved: one task at a time may use what is kept for GPU work
         like = (*likeness(spec, patient), keeps)
         known = able.get(like)
         offered = rooms if known is None else {m: rooms[m] for m in known}
@@ -272,8 +274,8 @@
         return cost
 
 
-class _Held:
-    """Keeps the rooms of a reservation from the jobs that come after the one that has it."""
+class _HeldRooms:
+    """Keeps the rooms of reservations from the jobs that come after those that have them."""
 
     def __init__(
         self,
@@ -287,21 +289,31 @@
         self._out: dict[str, Room] = {}
 
     def turn(self, job: Job) -> None:
-        """It is this job's turn to be placed."""
-        if self._reservation.job is None:
+        """It is this job's turn to be placed: it sees all rooms but those held before it."""
+        held = self._reservation.held
+        if not held and not self._out:
             return
-        owner = self._picture.mirror.jobs[self._reservation.job]
-        rank = self._picture.order_key
-        if job is not owner and rank(job)[:2] >= rank(owner)[:2]:
-            for machine in self._reservation.machines & self._rooms.keys():
-                self._out[machine] = self._rooms.pop(machine)
-                for fitting in self._able.values():
-                    fitting.pop(machine, None)
-        elif self._out:
-            self._rooms |= self._out
-            self._out.clear()
+        kept = self._kept_from(job, held)
+        for machine in kept & self._rooms.keys():
+            self._out[machine] = self._rooms.pop(machine)
+            for fitting in self._able.values():
+                fitting.pop(machine, None)
+        back = self._out.keys() - kept
+        if back:
+            for machine in sorted(back):
+                self._rooms[machine] = self._out.pop(machine)
             self._able.clear()  # what fits is looked for anew
 
+    def _kept_from(self, job: Job, held: dict[str, frozenset[str]]) -> set[str]:
+        """The machines that are held for others whose claim is no lesser than this job's."""
+        jobs, rank = self._picture.mirror.jobs, self._picture.order_key
+        claim = rank(job)[:2]
+        kept: set[str] = set()
+        for owner, machines in held.items():
+            if owner != job.id and claim >= rank(jobs[owner])[:2]:
+                kept |= machines
+        return kept
+
 
 def _rounds(jobs: list[Job], picture: Picture) -> Iterator[tuple[Job, bool]]:
     """The order in which jobs get room, and whether only where their image is at hand.
--- a/src/sandladder/reservation.py
+++ b/src/sandladder/reservation.py
@@ -4,14 +4,15 @@
 of a machine, would be passed over for as long as small work comes.  So once it has waited for some
 leases (`AGED_LEASES`), the machines on which it would soonest fit as a whole are kept for it from
 all that comes after it in the order: what is more urgent, or within a guarantee where it is not, is
-not held up.  One job at a time has a reservation, the first in the order, and it ends: what runs on
-these machines ends, and nothing of equal or lesser claim takes its place.  Pure: no I/O, no clock.
+not held up.  One such job at a time has a reservation, the first in the order; urgent gangs have
+theirs as soon as they find no room.  It ends: what runs on these machines ends, and nothing of
+equal or lesser claim takes its place.  Pure: no I/O, no clock.
 """
 
 from collections import Counter
 from typing import NamedTuple
 
-from sandladder.model import GANG, SERVICE, Job, JobSpec, MachineType
+from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec, MachineType
 from sandladder.picture import AGED_LEASES, Picture, allowed
 from sandladder.premises import Room
 
@@ -25,19 +26,30 @@
     tasks: int
 
 
+class _Hold(NamedTuple):
+    """The machines that are held for one job, and until when they are not chosen anew."""
+
+    machines: frozenset[str]
+    until: float  # on the steady clock
+    urgent: bool  # for an urgent gang
+
+
 class Reservation:
-    """The machines that are held for one job, and which."""
+    """The jobs for which machines are held, and which machines."""
 
     def __init__(self, picture: Picture) -> None:
         self._picture = picture
         workers = picture.settings.platform.deployment.workers
         self._aged_s = AGED_LEASES * workers.lease_s
         self._again_s = workers.report_s
-        self.job: str | None = None
-        self.machines: frozenset[str] = frozenset()
-        self._until = 0.0
+        self._holds: dict[str, _Hold] = {}
         self._failed: dict[str, float] = {}  # jobs that no machines could hold, until when
 
+    @property
+    def held(self) -> dict[str, frozenset[str]]:
+        """By job, the machines that are held for it."""
+        return {job_id: hold.machines for job_id, hold in self._holds.items()}
+
     def aged(self, job: Job) -> bool:
         """Whether a job has waited long, has not begun, and fits only where room is gathered."""
         if job.live or job.done.count or not job.waiting or job.spec.kind == SERVICE:
@@ -46,6 +58,24 @@
             return False
         return job.spec.kind == GANG or self._takes_most(job.spec)
 
+    def _urgent_gang(self, job: Job) -> bool:
+        """Whether a gang that has not begun is to have its machines before lesser work."""
+        if job.spec.kind != GANG or job.live or not job.waiting:
+            return False
+        return self._picture.outlook(job).priority >= HIGH
+
+    def may_hold(self, job: Job) -> bool:
+        """Whether machines may be held for a job that found no room.
+
+        Urgent gangs each have theirs at once: what is less urgent would take the parts of their
+        machines as they come free.  Of the other aged jobs one has them at a time.
+        """
+        if job.id in self._holds:
+            return False
+        if self._urgent_gang(job):
+            return True
+        return self.aged(job) and all(hold.urgent for hold in self._holds.values())
+
     def _takes_most(self, spec: JobSpec) -> bool:
         """Whether two of its tasks fit no machine together."""
         types = [kind for kind in self._picture.mirror.types.values() if kind.fits(spec)]
@@ -53,11 +83,15 @@
 
     def review(self, jobs: list[Job]) -> None:
         """Give up what is held when its job has begun, or when it is time to choose anew."""
-        if self.job is None:
-            return
-        held = next((job for job in jobs if job.id == self.job), None)
-        if held is None or not self.aged(held) or self._picture.now >= self._until:
-            self.job, self.machines = None, frozenset()
+        waiting = {job.id: job for job in jobs if job.id in self._holds}
+        now = self._picture.now
+        self._holds = {
+            job_id: hold
+            for job_id, hold in self._holds.items()
+            if job_id in waiting
+            and now < hold.until
+            and (self.aged(waiting[job_id]) or self._urgent_gang(waiting[job_id]))
+        }
 
     def make(self, job: Job) -> bool:
         """Hold the machines on which a job that found no room would soonest fit as a whole.
@@ -69,7 +103,8 @@
             return False
         need = job.waiting if job.spec.kind == GANG else 1
         spec = job.spec
-        places = sorted(self._places(spec))
+        taken = frozenset[str]().union(*self.held.values())
+        places = sorted(place for place in self._places(spec) if place.machine not in taken)
         zones = sorted({place.zone for place in places}) if spec.one_zone else [None]
         choices = [self._choose(spec, places, need, zone) for zone in zones]
         found = [choice for choice in choices if choice is not None]
@@ -79,9 +114,8 @@
             self._failed[job.id] = now + self._again_s
             return False
         chosen = min(found, key=lambda choice: sum(place.taken for place in choice))
-        self.job = job.id
-        self.machines = frozenset(place.machine for place in chosen)
-        self._until = now + self._again_s
+        machines = frozenset(place.machine for place in chosen)
+        self._holds[job.id] = _Hold(machines, now + self._again_s, self._urgent_gang(job))
         return True
 
     def _places(self, spec: JobSpec) -> list[_Place]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -117,8 +117,7 @@
     picture.now = 4 * lease_s + 1.0
     hear_again(picture, 2)
     assert set(plan()) == {urgent.id}
-    assert planner.reservation.job == gang.id
-    assert planner.reservation.machines == {"vm-2"}
+    assert planner.reservation.held == {gang.id: {"vm-2"}}
     assert set(plan()) == {urgent.id}
     # What runs there ends, and the gang has the machine; then it is anyone's again.
     view = View(mirror)
@@ -136,7 +135,7 @@
         picture.gate.withdraw(intent)
     picture.touch("vm-2")
     planner.plan([mirror.jobs[small.id]], {})
-    assert planner.reservation.job is None
+    assert planner.reservation.held == {}
 
 
 def test_no_room_is_held_where_no_machine_could_hold_the_job_or_its_team_may_not_use_it() -> None:
@@ -148,7 +147,7 @@
         hear_again(picture, 2)
         assert planner.plan([gang], {}) == []
         assert planner.reservation.aged(gang)
-        assert planner.reservation.job is None
+        assert planner.reservation.held == {}
 
 
 def test_machines_for_a_reservation_are_looked_for_once_in_a_report_interval(monkeypatch) -> None:
@@ -196,3 +195,26 @@
     assert len(placed) == 20 and listed <= 20
     listed = 0
     assert planner.plan([big], {}) == [] and listed == 0
+
+
+def test_urgent_gangs_hold_a_machine_each_against_lesser_work_at_once() -> None:
+    """Seen in a measured day: each GPU that came free went to an array, and gangs found no machine."""
+    picture, planner, mirror, _ = scene()
+    whole: dict[str, Any] = {"vcpus": 4.0, "ram_gb": 1.0, "form": "group", "entries": 1}
+    small: dict[str, Any] = {"vcpus": 1.0, "ram_gb": 1.0}
+    filler = accept(mirror, number=1, entries=20, **small)
+    view = View(mirror)
+    places = [Placement(task, "vm-1", "north", 1) for task in range(1)]
+    places += [Placement(task, "vm-2", "south", 1) for task in range(1, 15)]
+    start(view, filler.id, places, LIMITS)
+    commit(mirror, view)
+    for machine in ("vm-1", "vm-2"):
+        picture.touch(machine)
+    gangs = [accept(mirror, number=2 + n, rank="urgent", **whole) for n in range(2)]
+    found = planner.plan([mirror.jobs[filler.id], *gangs], {})
+    # One place is left on the large machine and three on the small one: none of them is given away.
+    assert found == []
+    held = planner.reservation.held
+    assert held.keys() == {gang.id for gang in gangs}
+    assert sorted(len(machines) for machines in held.values()) == [1, 1]
+    assert frozenset().union(*held.values()) == {"vm-1", "vm-2"}
