--- a/src/sandladder/picture.py
+++ b/src/sandladder/picture.py
@@ -111,6 +111,8 @@
         self.images = Images()
         self.now = 0.0
         self.ahead = 0.0  # how far the time of day is ahead of the steady clock
+        # By image, the machines that had it or fetched it at some time; more than have it now.
+        self._image_seen: dict[str, dict[str, None]] = {}
         self._started_at: dict[str, float] = {}  # when a task of a job was last started
         self._gpus_wanted_as_of = (-1, False)  # a revision of the records, and the answer then
         self.limits = {t.name: t for t in settings.platform.deployment.teams}
@@ -173,6 +175,12 @@
                 new = new._replace(seen=new.seen._replace(images=old.seen.images))
         self._sights[machine] = new
         self._rooms.pop(machine, None)
+        for image in new.seen.images:
+            self._image_seen.setdefault(image, {})[machine] = None
+
+    def may_have(self, image: str) -> Iterable[str]:
+        """The machines that may have an image; `fetch_s` says which have it."""
+        return self._image_seen.get(image, {}).keys()
 
     def sight(self, machine: str) -> Sight | None:
         """The freshest word on a machine."""
@@ -387,6 +395,7 @@
         name = sight.seen.type if sight else known.type if known else ""
         kind = self.mirror.types.get(name)
         if kind is not None:
+            self._image_seen.setdefault(spec.image, {})[attempt.machine] = None
             self.images.touch(
                 attempt.machine,
                 attempt.session,
@@ -403,11 +412,15 @@
         """The time of day."""
         return self.now + self.ahead
 
+    def least_fetch_s(self, spec: JobSpec) -> float:
+        """How long the fetch of a job's image takes at least, in seconds."""
+        rates = [t.fetch_gb_per_s for t in self.mirror.types.values() if t.fits(spec)]
+        return spec.image_gb / max([1e-6, *rates])
+
     def stage_s(self, spec: JobSpec) -> float:
         """How long a job takes once it may start, if there is room."""
-        rates = [t.fetch_gb_per_s for t in self.mirror.types.values() if t.fits(spec)]
         report_s = self.settings.platform.deployment.workers.report_s
-        return spec.estimate_s + spec.image_gb / max([1e-6, *rates]) + report_s / 2
+        return spec.estimate_s + self.least_fetch_s(spec) + report_s / 2
 
     def outlook(self, job: Job) -> Outlook:
         """Its priority and when it is due, with all that need it."""
@@ -477,6 +490,12 @@
             self._rooms.pop(machine, None)
         known = self._sights.keys() | self.mirror.fleet.keys() | self.mirror.on_machine.keys()
         self.images.keep(known)
+        for image in list(self._image_seen):
+            kept = {m: None for m in self._image_seen[image] if m in known}
+            if kept:
+                self._image_seen[image] = kept
+            else:
+                del self._image_seen[image]
         jobs = self.mirror.jobs
         self._urgencies = {j: u for j, u in self._urgencies.items() if j in jobs}
         self._started_at = {j: at for j, at in self._started_at.items() if j in jobs}
--- a/src/sandladder/placement.py
+++ b/src/sandladder/placement.py
@@ -22,6 +22,8 @@
 
 # The share of the time to start within that a task waits for a machine with its image.
 _INSIST = 0.7
+# To how many times its first size the sample of machines for a task grows for a better fit.
+_MOST_SAMPLES = 32
 # Jobs with pending starts at a time, in changes that one full commit may carry.
 _FULL_COMMITS = 2
 
@@ -149,6 +151,9 @@
         if picture.avoids_gpus(spec) and not picture.keeps_gpus_free(job):
             count = 1  # it is starved: one task at a time may use what is kept for GPU work
         in_time = self.in_time(job)
+        if at_hand:
+            may_have = picture.may_have(spec.image)
+            rooms = {machine: rooms[machine] for machine in may_have if machine in rooms}
 
         def suits(room: Room) -> bool:
             if at_hand and picture.fetch_s(spec, room) > 0:
@@ -196,7 +201,8 @@
     ) -> list[Room]:
         """The best fits for so many tasks among sampled machines that have room for one.
 
-        The sample is in proportion to the tasks, and grows until the fits are good.  Only what
+        The sample is in proportion to the tasks, and grows until the fits are good, up to
+        `_MOST_SAMPLES` times if there are any: the best of so many is hardly worse.  Only what
         is sampled is looked at: seen in a measured day, each job that was placed went several
         times through all machines.  `suits`: what else a machine must be.
         """
@@ -211,13 +217,17 @@
         there = Counter(zones)
         most = (spec.tasks + 1) // 2 if spec.spread else len(zones) + count
         size = self.picture.settings.operator.sample * count
-        # Look further while the best is not a close fit with its image at hand.
+        # Look further while the best is not a close fit with its image at hand, if any has it.
         close = 0.1 * self._run_s(spec)
+        if not any(machine in rooms for machine in self.picture.may_have(spec.image)):
+            close += self.picture.least_fetch_s(spec)
+        most_looked = _MOST_SAMPLES * size
         heap: list[tuple[float, int, Room]] = []
         looked = 0
         chosen: list[Room] = []
         while len(chosen) < count:
-            if looked < len(able) and (not heap or heap[0][0] > close):
+            wanting = not heap or (heap[0][0] > close and looked < most_looked)
+            if looked < len(able) and wanting:
                 for index in range(looked, min(len(able), looked + size)):
                     other = self.rng.randrange(index, len(able))
                     able[index], able[other] = able[other], able[index]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -218,3 +218,27 @@
     assert held.keys() == {gang.id for gang in gangs}
     assert sorted(len(machines) for machines in held.values()) == [1, 1]
     assert frozenset().union(*held.values()) == {"vm-1", "vm-2"}
+
+
+def test_a_job_costs_a_look_at_a_sample_and_not_at_each_machine(monkeypatch) -> None:
+    """Counted over fleets of two sizes; seen with 1,300 workers: 24 jobs took 150 ms to place."""
+    looked: Counter[int] = Counter()
+    fetch_s = Picture.fetch_s
+
+    def counted(self: Picture, spec: JobSpec, room: Any) -> float:
+        looked[size] += 1
+        return fetch_s(self, spec, room)
+
+    monkeypatch.setattr(Picture, "fetch_s", counted)
+    for size in (300, 1200):
+        picture, planner, mirror, delivery = scene(value_kb=16.0)
+        picture.limits["red"] = TeamLimits("red")
+        for number in range(size):
+            name = f"vm-{1000 + number}"
+            report = Report(name, f"{name}:1", "large", "south", False, 1, 1, 1, None, ())
+            picture.heard(delivery.heard(report, 0.0, direct=False).dialogue)
+        jobs = [
+            accept(mirror, number=n, entries=1, vcpus=1.0, parcel=f"img-{n}") for n in range(24)
+        ]
+        assert len(planner.plan(jobs, {})) == 24
+    assert looked[1200] < 1.1 * looked[300]
--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -1,8 +1,8 @@
 """The command line: `python -m capacity measure|page|check` with `tools` and `src` on the path.
 
-    PYTHONPATH=src:tools python -m capacity measure --run NAME [--kinds bytes steps memory]
-    PYTHONPATH=src:tools python -m capacity page      # write the tables of docs/CAPACITY.md anew
-    PYTHONPATH=src:tools python -m capacity check     # exit status 1 if page and data disagree
+PYTHONPATH=src:tools python -m capacity measure --run NAME [--kinds bytes steps memory]
+PYTHONPATH=src:tools python -m capacity page      # write the tables of docs/CAPACITY.md anew
+PYTHONPATH=src:tools python -m capacity check     # exit status 1 if page and data disagree
 """
 
 import argparse
--- a/tools/capacity/measure.py
+++ b/tools/capacity/measure.py
@@ -55,8 +55,7 @@
     """A worker's report as it is sent."""
     found: Report = scenes.report(7, entries(tasks))
     items = [
-        {"entry": f"{e.job}/{e.task}", "try": e.attempt, "standing": e.state}
-        for e in found.entries
+        {"entry": f"{e.job}/{e.task}", "try": e.attempt, "standing": e.state} for e in found.entries
     ]
     return wire.dumps(
         {
@@ -95,6 +94,7 @@
 
 def sizes_of_messages(run: str) -> Iterator[Row]:
     """What is counted in bytes; it repeats exactly."""
+
     def row(quantity: str, varied: str, size: float, value: float) -> Row:
         return Row(run, quantity, varied, size, value, "bytes")
 
@@ -108,9 +108,7 @@
         yield row("ends told", "ends", tasks, len(mesh._frame(mesh.Ends(ends))))
     for controllers in (3, 5, 7, 9, 12):
         yield row("beat", "controllers", controllers, len(beat(controllers)))
-        roster = {
-            f"node-{n}": list(Member(n, 0, "in", 1e9, 0, "")) for n in range(controllers)
-        }
+        roster = {f"node-{n}": list(Member(n, 0, "in", 1e9, 0, "")) for n in range(controllers)}
         yield row("roster", "controllers", controllers, len(scenes.encoded(roster)))
     for machines in (50, 100, 150, 200, 300):
         whole = sum(len(scenes.encoded(v)) for v in fold_summary(summary(machines), 1e9))
@@ -262,6 +260,7 @@
 
 def memory(run: str) -> Iterator[Row]:
     """Bytes of memory that state takes in a controller."""
+
     def row(quantity: str, varied: str, size: float, value: float) -> Row:
         return Row(run, quantity, varied, size, value, "bytes of memory")
 
--- a/tools/capacity/scene.py
+++ b/tools/capacity/scene.py
@@ -27,9 +27,7 @@
 
 NODE, TERM = "node-0", 1
 ZONES = ("a1", "a2", "b1", "b2")
-TYPE = MachineType(
-    "worker", 32.0, 0.0, 128.0, 80.0, 1.0, 1.0, 0.3, 30.0, ZONES
-)
+TYPE = MachineType("worker", 32.0, 0.0, 128.0, 80.0, 1.0, 1.0, 0.3, 30.0, ZONES)
 PLACER = Placer(NODE, TERM)
 TASK_CPUS = 1.0
 
@@ -81,9 +79,7 @@
 def report(number: int, entries: list[Entry], seq: int = 1) -> Report:
     """What a machine reports."""
     name, zone = machine_name(number), ZONES[number % len(ZONES)]
-    return Report(
-        name, f"{name}:9000", TYPE.name, zone, True, 1, seq, TERM, None, tuple(entries)
-    )
+    return Report(name, f"{name}:9000", TYPE.name, zone, True, 1, seq, TERM, None, tuple(entries))
 
 
 def build(machines: int, teams: int = 1, controllers: int = 9, value_kb: float = 8.0) -> Scene:
@@ -131,9 +127,7 @@
         places = []
         for task in scene.mirror.jobs[job_id].pending():
             where = number % machines
-            places.append(
-                Placement(task, machine_name(where), ZONES[where % len(ZONES)], 1)
-            )
+            places.append(Placement(task, machine_name(where), ZONES[where % len(ZONES)], 1))
             number += 1
         view = View(scene.mirror)
         team = scene.mirror.jobs[job_id].spec.team
