--- a/src/sandladder/eviction.py
+++ b/src/sandladder/eviction.py
@@ -41,9 +41,9 @@
         """Running tasks of lower priority to stop for work that must start at once."""
         picture = self._planner.picture
         report_s = picture.settings.platform.deployment.workers.report_s
-        # A claim lasts as long as a stop for it waits to be committed, and room that is to come on a
-        # machine counts once.  Seen in a measured day: while the store's write rate held them up,
-        # the same victims were chosen for job after job.
+        # A claim lasts as long as a stop for it waits to be committed, and room that is to come
+        # on a machine counts once.  Seen in a measured day: while the store's write rate held them
+        # up, the same victims were chosen for job after job.
         waited_for = {victim.claim for victim in self._stopping.values()}
         self._claims = {
             claim: until
