--- a/tools/capacity/measure.py
+++ b/tools/capacity/measure.py
@@ -1,4 +1,4 @@
-"""The measurements: bytes counted, processor time as a multiple of a step measured in the same run."""
+"""The measurements: bytes counted, and processor time in steps measured in the same run."""
 
 import gc
 import hashlib
@@ -7,10 +7,13 @@
 from collections.abc import Callable, Iterator
 from statistics import median
 
+import h11
+
 from capacity import scene as scenes
 from capacity.rows import Row
 from sandladder import mesh, wire
 from sandladder.fence import Stamp
+from sandladder.http import Response, _encode_answer
 from sandladder.lifecycle import Ended, Placement, View, end, start
 from sandladder.mirror import Mirror
 from sandladder.model import Command, Entry, Machine, Member, Report, Seen, Summary
@@ -106,6 +109,10 @@
             for n in range(tasks)
         ]
         yield row("ends told", "ends", tasks, len(mesh._frame(mesh.Ends(ends))))
+    for size in (0, 400, 800, 1600, 3200):
+        around = len(request_bytes(bytes(size))) - size
+        around += len(http_exchange(request_bytes(bytes(size)), Response(200, bytes(100)))()) - 100
+        yield row("HTTP around a report and its answer", "bytes of the body", size, around)
     for controllers in (3, 5, 7, 9, 12):
         yield row("beat", "controllers", controllers, len(beat(controllers)))
         roster = {f"node-{n}": list(Member(n, 0, "in", 1e9, 0, "")) for n in range(controllers)}
@@ -128,6 +135,33 @@
         yield row("job record", "live tasks", tasks, len(scenes.encoded(value)))
 
 
+def request_bytes(body: bytes) -> bytes:
+    """A worker's request as it goes over its connection."""
+    client = h11.Connection(h11.CLIENT)
+    headers = [
+        (b"host", b"10.0.0.1:8080"),
+        (b"content-type", b"application/cbor"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    head = client.send(h11.Request(method="POST", target="/v1/report", headers=headers)) or b""
+    return head + body
+
+
+def http_exchange(raw: bytes, answer: Response) -> Callable[[], bytes]:
+    """One request read and one answer written on a kept connection."""
+    server = h11.Connection(h11.SERVER)
+
+    def step() -> bytes:
+        server.receive_data(raw)
+        while type(server.next_event()) is not h11.EndOfMessage:
+            pass
+        written = _encode_answer(server, answer)
+        server.start_next_cycle()
+        return written
+
+    return step
+
+
 def times_of_steps(run: str) -> Iterator[Row]:
     """Processor time of the steps that the load is made of."""
     watch = Stopwatch()
@@ -140,6 +174,11 @@
         parsed = watch.steps(lambda body=body: wire.parse_report(wire.loads(body)), 300)
         yield row("report parsed", "tasks on the worker", tasks, parsed)
         yield row("report answered", "tasks on the worker", tasks, _answered(watch, tasks))
+    for size in (0, 400, 800, 1600, 3200):
+        exchange = http_exchange(request_bytes(bytes(size)), Response(200, bytes(100)))
+        yield row(
+            "request read and answered", "bytes of the body", size, watch.steps(exchange, 300)
+        )
     for tasks in (10, 50, 100, 200, 400):
         evaluated, read = _change(watch, tasks)
         yield row("change evaluated and written", "live tasks", tasks, evaluated)
--- /dev/null
+++ b/tools/capacity/played.py
@@ -0,0 +1,32 @@
+"""Rows from days that the users' bench played on copies of a site at several sizes."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+from capacity.rows import Row
+
+
+def rows(run: str, reports: dict[float, Path]) -> Iterator[Row]:
+    """What was counted on each copy, by how many times the site's size it is."""
+    for times, path in sorted(reports.items()):
+        report = json.loads(path.read_text())
+        started = report["fleet"]["tasks_started"]
+        nodes = report["node_stats"]
+        played_s = report["ends_s"]
+        seconds = sum(report["spent"]["processes"])
+        state = report["state"]
+        found = {
+            ("tasks started a second", "tasks/s"): started / played_s,
+            ("processor time by started task", "ms"): 1000 * seconds / max(1, started),
+            ("changes by started task", "changes"): state["writes"] / max(1, started),
+            ("changes of the state service", "changes/s"): state["writes"] / played_s,
+            ("requests to the state service", "requests/s"): state["requests"] / played_s,
+            ("bytes written to the state service", "bytes/s"): state["bytes_written"] / played_s,
+            ("processor of the busiest controller", "core"): max(n["cpu_mean"] for n in nodes),
+            ("memory of the largest controller", "MB"): max(n["memory_peak_mb"] for n in nodes),
+            ("sent between controllers", "MB"): sum(n["peer_mb"] for n in nodes),
+            ("workers", "workers"): float(report["machines"]),
+        }
+        for (quantity, unit), value in found.items():
+            yield Row(run, quantity, "times the site's size", times, round(value, 6), unit)
