--- a/src/sandladder/cloud.py
+++ b/src/sandladder/cloud.py
@@ -12,7 +12,7 @@
 from sandladder.http import HttpError, Requester, Response
 from sandladder.lifecycle import Refused, View, change_fleet, put_types
 from sandladder.model import ListedMachine, Machine, MachineType
-from sandladder.provision import Provisioner, Wish
+from sandladder.provision import Provisioner, RentalRequest
 from sandladder.records import FLEET_ITEM_BYTES, RENTER, machine_number
 from sandladder.settings import split_addr
 from sandladder.store import P_USER, P_WORK, Change, NoLease, Renewal, Unavailable
@@ -63,9 +63,9 @@
     async def catalog(self) -> dict[str, MachineType]:
         return wire.parse_catalog((await self._request("GET", wire.CATALOG)).body)
 
-    async def rent(self, name: str, wish: Wish) -> list[str]:
+    async def rent(self, name: str, rental: RentalRequest) -> list[str]:
         """Rent machines; the same name may be asked again and rents nothing more."""
-        body = wire.hire_body(name, wish.type, wish.zone, wish.spot, wish.number)
+        body = wire.hire_body(name, rental.type, rental.zone, rental.spot, rental.number)
         return wire.parse_hired((await self._request("POST", wire.MACHINES, body)).body)
 
     async def give_back(self, machines: list[str]) -> None:
@@ -194,40 +194,40 @@
             log.debug("fleet in cores: %s", self._provision.describe())
         # Asked for all at once: what else this duty sees to should not wait for refusals.
         async with anyio.create_task_group() as tasks:
-            for wish in self._provision.wishes(self._c.wall(), self._news):
+            for rental in self._provision.rental_requests(self._c.wall(), self._news):
                 if self._c.cloud.requests.delay(1) > 0:
                     break  # the most urgent come first; the rest is worked out anew next time
-                tasks.start_soon(self._rent, wish)
+                tasks.start_soon(self._rent, rental)
                 await anyio.sleep(0)  # it counts against the limit before the next one is begun
         await self._write()
 
-    async def _rent(self, wish: Wish) -> None:
+    async def _rent(self, rental: RentalRequest) -> None:
         try:
-            await self._hire(wish)
+            await self._hire(rental)
         except (CloudError, Refused, wire.Malformed) as error:
             # Whatever came of it will show in the list.
-            log.info("renting %s: %s", wish, error)
+            log.info("renting %s: %s", rental, error)
 
-    async def _hire(self, wish: Wish) -> None:
+    async def _hire(self, rental: RentalRequest) -> None:
         self._hires += 1
         name = f"{self._c.node}-{self._c.delivery.term}-{self._hires}"
-        log.info("renting %s", wish)
+        log.info("renting %s", rental)
         for attempt in range(3):
             try:
-                machines = await self._c.cloud.rent(name, wish)
+                machines = await self._c.cloud.rent(name, rental)
                 break
             except NoCapacity:
-                self._provision.refused(wish)
+                self._provision.refused(rental)
                 return
             except CloudError:
                 # Without an answer the same name is asked again: it cannot rent twice.
                 if attempt == 2:
                     raise
                 await anyio.sleep(self._pause_s)
-        if len(machines) < wish.number:
-            self._provision.refused(wish)
+        if len(machines) < rental.number:
+            self._provision.refused(rental)
         if machines:
-            record = Machine(wish.type, wish.zone, wish.spot, "rented", self._c.wall())
+            record = Machine(rental.type, rental.zone, rental.spot, "rented", self._c.wall())
             self._note(dict.fromkeys(machines, record))
 
     def _note(self, records: Mapping[str, Machine | None]) -> None:
--- a/src/sandladder/provision.py
+++ b/src/sandladder/provision.py
@@ -20,6 +20,7 @@
     MachineType,
     TeamUsage,
 )
+from sandladder.packing import Backlog, Bin, Shortage, ZoneShares, fill
 from sandladder.picture import SICK_ERRORS, Picture, allowed, likeness
 from sandladder.premises import Room
 from sandladder.quota import EPSILON, headroom
@@ -45,8 +46,8 @@
 _WASTEFUL_USE, _WASTEFUL_PRICE = 0.4, 1.6
 
 
-class Wish(NamedTuple):
-    """A rental to ask for."""
+class RentalRequest(NamedTuple):
+    """Machines of one type, zone and kind to ask the cloud for."""
 
     type: str
     zone: str
@@ -54,87 +55,6 @@
     number: int
 
 
-class _Bin:
-    """Room on a machine that is there, boots, or would be rented."""
-
-    __slots__ = ("kind", "offer", "cpus", "gpus", "memory_gb")
-
-    def __init__(self, kind: MachineType, zone: str, spot: bool) -> None:
-        self.kind = kind
-        self.offer = (kind.name, zone, spot)
-        self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb
-
-    def tasks(self, spec: JobSpec, most: int, keep_gpus: bool = False) -> int:
-        """How many tasks fit, up to so many; `keep_gpus`: next to what free GPUs may need."""
-        cpus, memory_gb = self.cpus, self.memory_gb
-        if keep_gpus and self.gpus > 0:
-            share = self.gpus / self.kind.gpus
-            cpus -= share * self.kind.cpus
-            memory_gb -= share * self.kind.memory_gb
-        number = min(most, int((cpus + EPSILON) / spec.cpus))
-        if spec.gpus > 0:
-            number = min(number, int((self.gpus + EPSILON) / spec.gpus))
-        if spec.memory_gb > 0:
-            number = min(number, int((memory_gb + EPSILON) / spec.memory_gb))
-        return max(0, number)
-
-    def take(self, spec: JobSpec, most: int, keep_gpus: bool = False) -> int:
-        """Take in up to so many tasks; how many it were."""
-        number = self.tasks(spec, most, keep_gpus)
-        if number > 0:
-            self.cpus -= number * spec.cpus
-            self.gpus -= number * spec.gpus
-            self.memory_gb -= number * spec.memory_gb
-        return number
-
-
-class _Zones:
-    """How many more tasks of a job each zone may take."""
-
-    def __init__(self, most: int, there: Counter[str], only: str | None = None) -> None:
-        self._most, self._there, self._only = most, there, only
-
-    @staticmethod
-    def of(job: Job) -> "_Zones | None":
-        """For the waiting tasks of a job; None when any zone will do."""
-        there = Counter(attempt.zone for attempt in job.live.values())
-        if job.spec.spread:
-            return _Zones((job.spec.tasks + 1) // 2, there)
-        if job.spec.one_zone and there:
-            return _Zones(job.spec.tasks, there, next(iter(there)))
-        return None
-
-    def left(self, zone: str) -> int:
-        if self._only not in (None, zone):
-            return 0
-        return max(0, self._most - self._there[zone])
-
-    def take(self, zone: str, number: int) -> None:
-        self._there[zone] += number
-
-
-class _Lack(NamedTuple):
-    """Tasks without room; `any_kind` if they are worth an ordinary machine."""
-
-    spec: JobSpec
-    any_kind: bool
-    number: int
-    zones: "_Zones | None" = None  # where they may be, if not anywhere
-
-
-class _Backlog:
-    """The work that waits, as it adds up in the order in which jobs get room."""
-
-    def __init__(self) -> None:
-        self.core_s = 0.0
-        self.gpu_s = 0.0
-
-    def add(self, spec: JobSpec, tasks: int, seconds: float) -> None:
-        """So many tasks of a job, each taking so long."""
-        self.core_s += tasks * spec.cpus * seconds
-        self.gpu_s += tasks * spec.gpus * seconds
-
-
 class Provisioner:
     """Decides on rentals and returns for the whole fleet."""
 
@@ -159,9 +79,9 @@
         self._waits = picture.settings.waits
         self._finishes = picture.settings.finishes
 
-    def refused(self, wish: Wish) -> None:
+    def refused(self, request: RentalRequest) -> None:
         """The cloud had no capacity for this: ask again only later."""
-        self._refused[wish.type, wish.zone, wish.spot] = self.picture.now + self._lease_s
+        self._refused[request.type, request.zone, request.spot] = self.picture.now + self._lease_s
 
     def learn(self) -> None:
         """Remember what recent jobs of each class looked like, and how often they came."""
@@ -175,9 +95,9 @@
             recent.append((now, spec))
         self._known = set(jobs)
 
-    def wishes(
+    def rental_requests(
         self, wall: float, unwritten: Mapping[str, Machine | None] | None = None
-    ) -> list[Wish]:
+    ) -> list[RentalRequest]:
         """What to rent now, the most urgent first, at the time of day `wall` in seconds.
 
         `unwritten` are machines' records that are not in the fleet records yet.  Seen in a
@@ -188,14 +108,14 @@
             return []
         fleet = picture.mirror.fleet | {m: r for m, r in (unwritten or {}).items() if r}
         bins = self._bins(wall, fleet)
-        lacking: list[_Lack] = []
+        shortages: list[Shortage] = []
         teams = dict(picture.mirror.used)
         ready = picture.mirror.pipelines.ready
         jobs = sorted(
             (job for job in picture.mirror.jobs.values() if job.waiting and ready(job)),
             key=picture.order_key,
         )
-        backlog = _Backlog()
+        backlog = Backlog()
         waiting = {True: 0.0, False: 0.0}
         # Likenesses of tasks that found no room: it only gets less.  Seen in a measured day: with
         # two hundred jobs waiting, each was tried on each of six hundred machines every second.
@@ -205,42 +125,42 @@
             patient = picture.patient(job)
             if spec.kind != SERVICE:
                 waiting[patient] += count * spec.cpus
-            zones, like = _Zones.of(job), likeness(spec, patient)
+            zones, like = ZoneShares.of(job), likeness(spec, patient)
             keep_gpus = picture.avoids_gpus(spec)
             if spec.one_zone and zones is None and count:
                 zones = self._one_zone(spec, count, bins)
             missing = count
             if like not in full:
-                missing -= self._fill(spec, count, bins, patient, zones, keep_gpus)
+                missing -= fill(spec, count, bins, patient, zones, keep_gpus)
                 if missing and zones is None:
                     full.add(like)
             backlog.add(spec, count, spec.estimate_s or self._lease_s)
             if missing:
                 worth = self._worth(job, missing, backlog, wall - picture.since(job), patient)
-                lacking += [lack._replace(zones=zones) for lack in worth]
-        self._pressed = bool(lacking)
+                shortages += [shortage._replace(zones=zones) for shortage in worth]
+        self._pressed = bool(shortages)
         self._note_demand(waiting)
-        lacking += self._short()
+        shortages += self._short()
         for machine, record in picture.mirror.fleet.items():
             if record.state == "draining":
                 for job, _, _ in picture.mirror.attempts_on(machine):
                     keep_gpus = picture.avoids_gpus(job.spec)
-                    if job.spec.kind == SERVICE and not self._fill(
+                    if job.spec.kind == SERVICE and not fill(
                         job.spec, 1, bins, keep_gpus=keep_gpus
                     ):
-                        lacking.append(_Lack(job.spec, True, 1))
-        for lack in lacking:
-            log.debug(
-                "%d tasks of %s lack room%s",
-                lack.number, lack.spec.id, " and are worth any" if lack.any_kind else "",
-            )  # fmt: skip
+                        shortages.append(Shortage(job.spec, True, 1))
+        for shortage in shortages:
+            kinds = " and are worth any" if shortage.any_kind else ""
+            log.debug("%d tasks of %s lack room%s", shortage.number, shortage.spec.id, kinds)
         # Room kept for what may come is not worth the dearer kind where the other will do.
-        lacking += [_Lack(spec, not spec.spot, n, zones) for spec, n, zones in self._spares(bins)]
-        return self._rent(lacking)
+        shortages += [
+            Shortage(spec, not spec.spot, n, zones) for spec, n, zones in self._spares(bins)
+        ]
+        return self._rent(shortages)
 
     def _bins(
         self, wall: float, fleet: Mapping[str, Machine], without: Collection[str] = ()
-    ) -> list[_Bin]:
+    ) -> list[Bin]:
         picture = self.picture
         bins = []
         self._capacity = {True: 0.0, False: 0.0}
@@ -265,7 +185,7 @@
             if wall - record.since <= 2.5 * booting.boot_s:
                 self._capacity[record.spot] += booting.cpus
                 self._gpu_capacity[record.spot] += booting.gpus
-                bins.append(_Bin(booting, record.zone, record.spot))
+                bins.append(Bin(booting, record.zone, record.spot))
         bins.sort(key=lambda b: (not b.offer[2], b.cpus))
         return bins
 
@@ -277,7 +197,7 @@
         teams[spec.team] = usage.plus(spec, count)
         return count
 
-    def _one_zone(self, spec: JobSpec, tasks: int, bins: list[_Bin]) -> _Zones:
+    def _one_zone(self, spec: JobSpec, tasks: int, bins: list[Bin]) -> ZoneShares:
         """The zone in which tasks that must share one find room soonest.
 
         The one with the most room, if that is enough or more can be rented there.  Without
@@ -290,7 +210,7 @@
         order = sorted(room, key=lambda zone: (-room[zone], zone))
         able = [z for z in order if room[z] >= tasks or self._offered(spec, z)]
         chosen = next(iter(able or order), None)
-        return _Zones(tasks, Counter(), chosen)
+        return ZoneShares(tasks, Counter(), chosen)
 
     def _types_for(self, spec: JobSpec) -> list[MachineType]:
         return [kind for kind in self.picture.mirror.types.values() if kind.fits(spec)]
@@ -305,42 +225,6 @@
             for spot in ([True, False] if spec.spot else [False])
         )
 
-    @staticmethod
-    def _fill(
-        spec: JobSpec,
-        count: int,
-        bins: list[_Bin],
-        patient: bool = False,
-        zones: _Zones | None = None,
-        keep_gpus: bool = False,
-    ) -> int:
-        """Put up to so many tasks into the bins, of the cheaper kind if patient; how many fit.
-
-        `keep_gpus`: they leave free GPUs what those may need of their machine.
-
-        Room in a zone that may take no more of them is none.  Found by a search: replicas that
-        must be spread waited for a zone without room, while the full zone's idle room counted.
-        """
-        left = count
-        suits: dict[tuple[str, str, bool], bool] = {}
-        for found in bins:
-            if left <= 0:
-                break
-            if found.cpus + EPSILON < spec.cpus or found.memory_gb + EPSILON < spec.memory_gb:
-                continue
-            suited = suits.get(found.offer)
-            if suited is None:
-                suited = allowed(spec, Machine(*found.offer, "up", 0.0))
-                suited = suits[found.offer] = suited and (found.offer[2] or not patient)
-            if suited:
-                zone = found.offer[1]
-                most = left if zones is None else min(left, zones.left(zone))
-                taken = found.take(spec, most, keep_gpus)
-                if zones is not None:
-                    zones.take(zone, taken)
-                left -= taken
-        return count - left
-
     def _allowance_s(self, job: Job, age_s: float) -> float:
         """How late the last task of a job may start, from when its times count.
 
@@ -362,8 +246,8 @@
         return next((limit for limit in late if limit >= up_s), late[-1])
 
     def _worth(
-        self, job: Job, missing: int, work: _Backlog, age_s: float, patient: bool
-    ) -> list[_Lack]:
+        self, job: Job, missing: int, work: Backlog, age_s: float, patient: bool
+    ) -> list[Shortage]:
         """What to rent for waiting tasks of a job, behind a backlog.
 
         A machine rented now is of use only after its boot; until then, or until the job must
@@ -373,7 +257,7 @@
         picture, spec = self.picture, job.spec
         priority = picture.outlook(job).priority
         if spec.kind == SERVICE or priority >= PRODUCTION:
-            return [_Lack(spec, True, missing)]
+            return [Shortage(spec, True, missing)]
         boot_s, allowance = picture.boot_s(spec), self._allowance_s(job, age_s)
         # Work that needs GPUs waits for those alone, whatever cores there are.
         scarce = spec.gpus > 0
@@ -388,12 +272,12 @@
         if left > 0:
             span_s = max(horizon - boot_s, spec.estimate_s or self._lease_s)
             more = min(missing, math.ceil(left / span_s / need))
-            lacks.append(_Lack(spec, True, more))
+            lacks.append(Shortage(spec, True, more))
             missing -= more
         eta_s = age_s + backlog / max(capacity, need)
         early = priority >= HIGH or eta_s > _PRESSING_SPOT * allowance
         if spec.spot and early and missing:
-            lacks.append(_Lack(spec, False, missing))
+            lacks.append(Shortage(spec, False, missing))
         return lacks
 
     def _note_demand(self, waiting: dict[bool, float]) -> None:
@@ -413,7 +297,7 @@
         seen = sorted(sample[1 + patient] for sample in self._demand)
         return seen[int(len(seen) * _DEMAND_SHARE)] if seen else 0.0
 
-    def _short(self) -> list[_Lack]:
+    def _short(self) -> list[Shortage]:
         """Cores that the fleet is short of, beside what waits just now.
 
         What waits is started when others end, or too late for a machine that must boot
@@ -426,13 +310,13 @@
         whole = self._capacity[True] + self._capacity[False]
         number = int((self._usual(False) - whole) / spec.cpus)
         if number > 0:
-            return [_Lack(spec, True, number)]
+            return [Shortage(spec, True, number)]
         number = int((self._usual(True) - whole) / spec.cpus)
-        return [_Lack(spec, False, number)] if number > 0 else []
+        return [Shortage(spec, False, number)] if number > 0 else []
 
-    def _spares(self, bins: list[_Bin]) -> list[tuple[JobSpec, int, _Zones | None]]:
-        """Room lacking for classes that must start before a machine could boot."""
-        lacking: list[tuple[JobSpec, int, _Zones | None]] = []
+    def _spares(self, bins: list[Bin]) -> list[tuple[JobSpec, int, ZoneShares | None]]:
+        """Room shortages for classes that must start before a machine could boot."""
+        shortages: list[tuple[JobSpec, int, ZoneShares | None]] = []
         for cls, recent in self._sizes.items():
             within = self._waits.get(cls)
             if within is None or within > 2 * self._lease_s:
@@ -450,14 +334,14 @@
                 count = sizes[len(sizes) // 2]
                 ratio *= 0.5
             count = max(1, round(count * ratio)) if ratio else 0
-            zones = _Zones((count + 1) // 2, Counter()) if spec.spread else None
+            zones = ZoneShares((count + 1) // 2, Counter()) if spec.spread else None
             if spec.one_zone and count:
                 zones = self._one_zone(spec, count, bins)
             keep_gpus = self.picture.avoids_gpus(spec)
-            missing = count - self._fill(spec, count, bins, zones=zones, keep_gpus=keep_gpus)
+            missing = count - fill(spec, count, bins, zones=zones, keep_gpus=keep_gpus)
             if missing:
-                lacking.append((spec, missing, zones))
-        return lacking
+                shortages.append((spec, missing, zones))
+        return shortages
 
     def _swing(self, recent: deque[tuple[float, JobSpec]], horizon_s: float) -> int:
         """The standard deviation of the tasks that arrive in so long a time."""
@@ -468,58 +352,58 @@
         span_s = max(horizon_s, self.picture.now - recent[0][0])
         return round(math.sqrt(horizon_s / span_s * sum(spec.tasks**2 for _, spec in arrived)))
 
-    def _rent(self, lacking: list[_Lack]) -> list[Wish]:
+    def _rent(self, shortages: list[Shortage]) -> list[RentalRequest]:
         wanted: Counter[tuple[str, str, bool]] = Counter()
-        fresh: list[_Bin] = []
+        fresh: list[Bin] = []
         fleet = Counter((m.type, m.zone, m.spot) for m in self.picture.mirror.fleet.values())
-        least = min((lack.spec.cpus for lack in lacking), default=0.0)
-        for index, lack in enumerate(lacking):
-            keep_gpus = self.picture.avoids_gpus(lack.spec)
-            count = lack.number - self._fill(
-                lack.spec, lack.number, fresh, zones=lack.zones, keep_gpus=keep_gpus
+        least = min((shortage.spec.cpus for shortage in shortages), default=0.0)
+        for index, shortage in enumerate(shortages):
+            keep_gpus = self.picture.avoids_gpus(shortage.spec)
+            count = shortage.number - fill(
+                shortage.spec, shortage.number, fresh, zones=shortage.zones, keep_gpus=keep_gpus
             )
             while count > 0:
-                choice = self._cheapest(count, lacking, index, wanted, fleet)
+                choice = self._cheapest(count, shortages, index, wanted, fleet)
                 if choice is None:
                     break
                 kind, zone, spot = choice
-                new = _Bin(kind, zone, spot)
-                if lack.zones is None:
+                new = Bin(kind, zone, spot)
+                if shortage.zones is None:
                     # Most of a long backlog goes in pieces, the rest machine by machine.
-                    each = max(1, new.tasks(lack.spec, count))
+                    each = max(1, new.tasks(shortage.spec, count))
                     whole = count // each // _PIECES
                     wanted[kind.name, zone, spot] += whole
                     count -= whole * each
                 wanted[kind.name, zone, spot] += 1
-                count -= self._fill(lack.spec, count, [new], zones=lack.zones)
+                count -= fill(shortage.spec, count, [new], zones=shortage.zones)
                 if new.cpus + EPSILON >= least:
                     fresh.append(new)
         # One request an offer: whether there are more of it is known once that is answered.
         return [
-            Wish(kind, zone, spot, min(_MOST_HIRED, number))
+            RentalRequest(kind, zone, spot, min(_MOST_HIRED, number))
             for (kind, zone, spot), number in wanted.items()
         ]
 
     def _cheapest(
         self,
         count: int,
-        lacking: list[_Lack],
+        shortages: list[Shortage],
         index: int,
         wanted: Counter[tuple[str, str, bool]],
         fleet: Counter[tuple[str, str, bool]],
     ) -> tuple[MachineType, str, bool] | None:
         """The offer with the lowest price for each core that would be used, by so many tasks of
-        the lack at `index` and those that come after it.
+        the shortage at `index` and those that come after it.
         """
-        picture, lack = self.picture, lacking[index]
-        spec = lack.spec
+        picture, shortage = self.picture, shortages[index]
+        spec = shortage.spec
         best: tuple[float, MachineType, str, bool] | None = None
         avoids_gpus = picture.avoids_gpus(spec)
         for kind in picture.mirror.types.values():
             if not kind.fits(spec) or (avoids_gpus and kind.gpus > 0):
                 continue
-            used = self._used(kind, count, lacking, index)
-            kinds = [True] * spec.spot + [False] * (lack.any_kind or not spec.spot)
+            used = self._used(kind, count, shortages, index)
+            kinds = [True] * spec.spot + [False] * (shortage.any_kind or not spec.spot)
             for spot in kinds:
                 price = kind.spot_price if spot else kind.price
                 if price <= 0:
@@ -528,7 +412,7 @@
                     offer = (kind.name, zone, spot)
                     if spec.zone not in (None, zone):
                         continue
-                    if lack.zones is not None and not lack.zones.left(zone):
+                    if shortage.zones is not None and not shortage.zones.left(zone):
                         continue
                     if self._refused.get(offer, 0.0) > picture.now:
                         continue
@@ -540,16 +424,16 @@
         return best[1:] if best else None
 
     @staticmethod
-    def _used(kind: MachineType, count: int, lacking: list[_Lack], index: int) -> float:
+    def _used(kind: MachineType, count: int, shortages: list[Shortage], index: int) -> float:
         """How many cores of a new machine would be used."""
-        service = lacking[index].spec.kind == SERVICE
+        service = shortages[index].spec.kind == SERVICE
         cpus, memory, used = kind.cpus, kind.memory_gb, 0.0
-        for at in range(index, len(lacking)):
-            spec = lacking[at].spec
+        for at in range(index, len(shortages)):
+            spec = shortages[at].spec
             # Services stay for long and the rest goes: a machine is filled with one of the two.
             if (spec.kind == SERVICE) != service:
                 continue
-            most = count if at == index else lacking[at].number
+            most = count if at == index else shortages[at].number
             number = min(most, int((cpus + 1e-6) / spec.cpus))
             if spec.memory_gb > 0:
                 number = min(number, int((memory + 1e-6) / spec.memory_gb))
@@ -711,8 +595,8 @@
                 chosen.append(machine)
         return chosen
 
-    def _bin(self, room: Room) -> _Bin:
-        found = _Bin(self.picture.mirror.types[room.type], room.zone, room.spot)
+    def _bin(self, room: Room) -> Bin:
+        found = Bin(self.picture.mirror.types[room.type], room.zone, room.spot)
         found.cpus, found.gpus, found.memory_gb = room.cpus, room.gpus, room.memory_gb
         return found
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -193,7 +193,7 @@
     first = accept(mirror, number=1, entries=1)
     add(mirror, 2, first.id, entries=40, rank="urgent")
     provisioner = Provisioner(picture)
-    assert provisioner.wishes(1e6) == []
+    assert provisioner.rental_requests(1e6) == []
     assert {i.spec.id for i in planner.plan(list(mirror.jobs.values()), {})} == {first.id}
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -80,8 +80,8 @@
     picture.touch("vm-2")
     # vm-2 in the south has room for more, but two of three are there; the north has none.
     picture.doubt("vm-1", 100.0)
-    wishes = Provisioner(picture).wishes(0.0)
-    assert {wish.zone for wish in wishes} == {"north"} and wishes[0].number == 1
+    requests = Provisioner(picture).rental_requests(0.0)
+    assert {request.zone for request in requests} == {"north"} and requests[0].number == 1
 
 
 def hear_again(picture: Picture, seq: int) -> None:
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -32,9 +32,9 @@
 
 def rented(picture: Picture, **unwritten: Machine) -> dict[tuple[str, str], int]:
     found: dict[tuple[str, str], int] = {}
-    for wish in Provisioner(picture).wishes(0.0, unwritten):
-        key = wish.type, wish.zone
-        found[key] = found.get(key, 0) + wish.number
+    for request in Provisioner(picture).rental_requests(0.0, unwritten):
+        key = request.type, request.zone
+        found[key] = found.get(key, 0) + request.number
     return found
 
 
@@ -43,21 +43,21 @@
     picture, _, mirror, _ = scene()
     picture.limits["red"] = TeamLimits("red")
     accept(mirror, entries=2000, vcpus=4.0, ram_gb=1.0, rank="urgent")
-    wishes = Provisioner(picture).wishes(0.0)
-    offers = [(wish.type, wish.zone, wish.spot) for wish in wishes]
+    requests = Provisioner(picture).rental_requests(0.0)
+    offers = [(request.type, request.zone, request.spot) for request in requests]
     assert offers and len(offers) == len(set(offers))
     picture, _, mirror, _ = scene()
     accept(mirror, entries=12, vcpus=4.0, ram_gb=1.0, rank="urgent")
-    wished = Provisioner(picture).wishes(0.0)
+    requested = Provisioner(picture).rental_requests(0.0)
     unwritten = {
-        f"vm-{wish.zone}-{wish.type}-{number}": Machine(
-            wish.type, wish.zone, wish.spot, "rented", 0.0
+        f"vm-{request.zone}-{request.type}-{number}": Machine(
+            request.type, request.zone, request.spot, "rented", 0.0
         )
-        for wish in wished
-        for number in range(wish.number)
+        for request in requested
+        for number in range(request.number)
     }
     assert unwritten
-    assert Provisioner(picture).wishes(0.0, unwritten) == []
+    assert Provisioner(picture).rental_requests(0.0, unwritten) == []
 
 
 def test_work_without_gpus_leaves_the_machines_with_gpus_alone() -> None:
@@ -70,9 +70,9 @@
     assert where == {"vm-1", "vm-2", taken}
     # Nor is any rented for it, whatever else is refused.
     provisioner = Provisioner(picture)
-    for wish in provisioner.wishes(0.0):
-        provisioner.refused(wish)
-    assert not any(wish.type == "gpu" for wish in provisioner.wishes(0.0))
+    for request in provisioner.rental_requests(0.0):
+        provisioner.refused(request)
+    assert not any(request.type == "gpu" for request in provisioner.rental_requests(0.0))
 
 
 def test_what_gpus_in_use_leave_of_their_machine_may_be_used() -> None:
@@ -124,9 +124,9 @@
     assert len(found) == 1 and list(found.values()) == [2]
     # Where one zone's offers are refused, the other is filled.
     provisioner = Provisioner(picture)
-    (first,) = provisioner.wishes(0.0)
+    (first,) = provisioner.rental_requests(0.0)
     provisioner.refused(first)
-    (second,) = provisioner.wishes(0.0)
+    (second,) = provisioner.rental_requests(0.0)
     assert second.zone != first.zone and second.number == 2
 
 
@@ -198,6 +198,6 @@
     picture, _, mirror, _ = scene()
     picture.limits["red"] = TeamLimits("red")
     accept(mirror, entries=8000, vcpus=2.0, ram_gb=1.0, rank="urgent")
-    wished = Provisioner(picture).wishes(0.0)
-    assert sum(wish.number for wish in wished) >= 50
+    requested = Provisioner(picture).rental_requests(0.0)
+    assert sum(request.number for request in requested) >= 50
     assert chosen <= 150
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -6,6 +6,7 @@
 
 from days import warm
 from helpers import LIMITS, accept, commit, scene, spec
+from sandladder import packing, provision
 from sandladder.lifecycle import Ended, Placement, View, end, start, submit
 from sandladder.mirror import Mirror
 from sandladder.model import Machine, Report
@@ -109,13 +110,13 @@
 def test_renting_tries_each_kind_of_task_once_that_finds_no_room(monkeypatch) -> None:
     """However many jobs wait, the machines are gone through for each likeness, not each job."""
     looked: Counter[int] = Counter()
-    fill = Provisioner._fill
+    fill = packing.fill
 
     def counted(spec, count, bins, *rest, **named):
         looked[jobs] += bool(count) and len(bins) > 100
         return fill(spec, count, bins, *rest, **named)
 
-    monkeypatch.setattr(Provisioner, "_fill", staticmethod(counted))
+    monkeypatch.setattr(provision, "fill", counted)
     for jobs in (20, 200):
         picture, _, mirror, _ = scene()
         picture.limits = {}
@@ -127,8 +128,8 @@
             wide = number % 2
             submit(view, spec(number, entries=40, vcpus=2.0 + wide, ram_gb=1.0), 0.0)
             commit(mirror, view)
-        wishes = Provisioner(picture).wishes(0.0)
-        assert sum(wish.number for wish in wishes) > 0
+        requests = Provisioner(picture).rental_requests(0.0)
+        assert sum(request.number for request in requests) > 0
     assert looked[200] <= looked[20]
 
 
--- a/tools/capacity/measure.py
+++ b/tools/capacity/measure.py
@@ -268,7 +268,7 @@
     waiting = [full.mirror.jobs[n] for n in scenes.add_jobs(full, 24, 1, first=machines)]
     nothing = watch.steps(lambda: full.planner.plan(waiting, {}), 3)
     renter = Provisioner(full.picture)
-    rented = watch.steps(lambda: renter.wishes(1.0), 3)
+    rented = watch.steps(lambda: renter.rental_requests(1.0), 3)
     return planned, nothing, rented
 
 
