--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -1,14 +1,16 @@
 """The command line: `python -m capacity measure|page|check` with `tools` and `src` on the path.
 
 PYTHONPATH=src:tools python -m capacity measure --run NAME [--kinds bytes steps memory]
+    PYTHONPATH=src:tools python -m capacity played --run NAME --seconds 150 1.0=REPORT.json ...
 PYTHONPATH=src:tools python -m capacity page      # write the tables of docs/CAPACITY.md anew
 PYTHONPATH=src:tools python -m capacity check     # exit status 1 if page and data disagree
 """
 
 import argparse
 import sys
+from pathlib import Path
 
-from capacity import measure, page, rows
+from capacity import measure, page, played, rows
 
 
 def main() -> int:
@@ -17,6 +19,10 @@
     measuring = verbs.add_parser("measure", help="measure at several sizes and keep the rows")
     measuring.add_argument("--run", required=True, help="the name that the rows are kept under")
     measuring.add_argument("--kinds", nargs="+", choices=measure.KINDS, default=list(measure.KINDS))
+    playing = verbs.add_parser("played", help="keep what the bench's reports of copies counted")
+    playing.add_argument("--run", required=True, help="the name that the rows are kept under")
+    playing.add_argument("--seconds", type=float, required=True, help="how long each was played")
+    playing.add_argument("reports", nargs="+", metavar="TIMES=REPORT.json")
     verbs.add_parser("page", help="write the page's tables from the rows")
     verbs.add_parser("check", help="compare the page's tables with the rows")
     options = parser.parse_args()
@@ -26,6 +32,13 @@
             rows.write(path, measure.KINDS[kind](options.run))
             print(f"wrote {path}")
         return 0
+    if options.verb == "played":
+        reports = dict(text.split("=", 1) for text in options.reports)
+        sized = {float(times): Path(path) for times, path in reports.items()}
+        path = rows.DATA / f"{options.run}-played.csv"
+        rows.write(path, played.rows(options.run, sized, options.seconds))
+        print(f"wrote {path}")
+        return 0
     if options.verb == "page":
         page.PAGE.write_text(page.filled(page.PAGE.read_text()))
         return 0
--- a/tools/capacity/played.py
+++ b/tools/capacity/played.py
@@ -7,13 +7,12 @@
 from capacity.rows import Row
 
 
-def rows(run: str, reports: dict[float, Path]) -> Iterator[Row]:
-    """What was counted on each copy, by how many times the site's size it is."""
+def rows(run: str, reports: dict[float, Path], played_s: float) -> Iterator[Row]:
+    """What was counted in so many seconds on each copy, by how many times the site's size it is."""
     for times, path in sorted(reports.items()):
         report = json.loads(path.read_text())
         started = report["fleet"]["tasks_started"]
         nodes = report["node_stats"]
-        played_s = report["ends_s"]
         seconds = sum(report["spent"]["processes"])
         state = report["state"]
         found = {
