--- /dev/null
+++ b/tests/test_scale_run.py
@@ -0,0 +1,47 @@
+"""The scale run, small: the same code, with rules and counts but no times."""
+
+import argparse
+from typing import Any
+
+from scale_run import ScaleWorld, percentile, play, teams
+
+from world import run
+
+
+def test_a_small_scale_run_counts_and_breaks_no_rule() -> None:
+    options = argparse.Namespace(workers=20, rate=10.0, seconds=8.0, minutes=5.0)
+    limits: dict[str, Any] = {"rps": 300.0, "write_rps": 20.0, "txn_ops": 12}
+    world = ScaleWorld(1120, 3, limits=list(teams(4)), **limits)
+    world.store.write_rps = limits["write_rps"]
+    world.cloud.most = options.workers
+    found: dict[str, Any] = {}
+    run(world, lambda: play(world, options, found))
+    assert world.broken == []
+    assert "ended early at" not in found
+    assert found["starts a second"] > 0.5 * options.rate
+    assert 0 < found["changes a second"] <= limits["write_rps"]
+
+
+def test_the_checks_of_a_scale_run_are_still_made() -> None:
+    """A team over its limit is found, once a second."""
+    world = ScaleWorld(1121, 3, limits=[{"name": "red", "cpus_max": 1.0}])
+    checked: list[int] = []
+
+    class Task:
+        spec = {"id": "job-000001", "bureau": "red", "vcpus": 2.0, "gpus": 0.0}
+        name, there = "job-000001/0", True
+
+    async def main() -> None:
+        world.present = lambda: [(None, Task())]  # type: ignore[method-assign,list-item]
+        for _ in range(3):
+            world.check()
+        checked.append(len(world.broken))
+
+    run(world, main)
+    assert checked[0] == 1 and "quota" in world.broken[0]
+
+
+def test_percentiles() -> None:
+    assert percentile([], 99) == 0
+    assert percentile([3.0], 50) == 3.0
+    assert round(percentile([float(n) for n in range(101)], 50), 6) == 50.0
