review: a machine stops, and its job never runs though another has room (case 3)

Cause: a large machine with one replica is marked for return for being little used; it can't be emptied while the cloud has no other, nothing takes the mark back, and it gets no task.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -32,16 +32,22 @@
     return time.monotonic() - START
 
 
+_port_block = iter(range(12_000 + os.getpid() % 300 * 64, 12_000 + os.getpid() % 300 * 64 + 64))
+
+
 def free_port():
-    """Return a free port below those that the system gives to outgoing connections."""
-    while True:
-        port = random.randrange(12_000, 32_000)
+    """Return a free port below those that the system gives to outgoing connections.
+
+    Cases that run at the same time take their ports from different blocks.
+    """
+    for port in _port_block:
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
             return port
+    raise RuntimeError("no free port")
 
 
 # ---- record ---------------------------------------------------------------------------------
@@ -490,11 +496,24 @@
         machine = self.machines.pop(name, None)
         if machine is None:
             return
+        if not self.world.workers[name].up and machine["standing"] != "starting":
+            return  # it had stopped before
         key = (machine["breed"], machine["district"], machine["loaners"])
         if key in self.capacity:
             self.capacity[key] += 1
         await self.world.workers[name].destroy(why)
 
+    async def die(self, name):
+        """A machine stops with all that is on it; it is listed as running for 30 s more."""
+        machine = self.machines[name]
+        await self.world.workers[name].destroy("stopped")
+
+        async def fail():
+            await asyncio.sleep(30.0)
+            machine["standing"] = "failed"
+
+        self.world.background.append(asyncio.create_task(fail()))
+
     async def run(self):
         while True:
             self.history.append((now(), [dict(m) for m in self.machines.values()]))
@@ -1144,6 +1163,8 @@
         async with asyncio.timeout(timeout):
             for node in self.nodes:
                 while not await self.healthy(node):
+                    if self.processes[node].returncode is not None:
+                        raise RuntimeError(f"{node} ended while it started")
                     await asyncio.sleep(0.2)
         self.record("controllers", "all healthy")
 
