review: gangs without GPUs never start once they have waited four leases (case 2)

Cause: a job that is starved of GPU machines gets one task at a time, gangs too; a gang needs all its tasks at once, so that it is never placed while any job with GPUs is alive.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -1377,8 +1377,10 @@
     return settings, types
 
 
-def make_world(folder):
+def make_world(folder, adjust=None):
     settings, types = small_deployment()
+    if adjust is not None:
+        adjust(settings["deployment"], types)
     return World(
         settings,
         types,
@@ -1388,12 +1390,12 @@
     )
 
 
-def play(folder, scene, prepare=None):
+def play(folder, scene, prepare=None, adjust=None):
     """Play a scene and exit with 1 if a rule was broken, 0 if not, 2 if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
-        world = make_world(folder)
+        world = make_world(folder, adjust)
         try:
             async with asyncio.timeout(118.0):
                 await world.open()
