--- a/review/2/scene.py
+++ b/review/2/scene.py
@@ -1,72 +1,73 @@
-"""The cloud is down for 40 s; gangs without GPUs wait meanwhile, while a job with GPUs is alive."""
+"""Two jobs that fail on every machine, until their users cancel them; then an ordinary job."""
 
 import asyncio
-import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from world import now, play  # noqa: E402
+from world import HOST, play  # noqa: E402, F401
 
-OUTAGE_S = 40.0
-BOOT_S = 25.0
-END_S = 112.0
+ZONES = ("hill", "lake", "moor")
+MISTAKEN = ("job-000091", "job-000092")
 
 
-def adjust(deployment, types):
-    """A small deployment with a type that has GPUs."""
-    for team in deployment["teams"]:
-        team |= {"gpus": 2.0, "gpus_max": 8.0}
-    for kind in types:
-        kind["boot_s"] = BOOT_S
-    ash, _ = types
-    types.append(
-        ash | {"label": "elm", "vcpus": 12, "gpus": 2, "ram_gb": 48, "price": 5.0, "market_price": 1.7}
-    )
+async def prepare(world):
+    """Three machines are up at the start, one in each zone; the cloud has no others."""
+    for kind in world.types:
+        for zone in ZONES:
+            for spot in (True, False):
+                world.cloud.capacity[kind["label"], zone, spot] = 0
+    oak = next(kind for kind in world.types if kind["label"] == "oak")
+    for zone in ZONES:
+        await world.cloud.rent(oak, zone, False, boot_s=0.5)
 
 
 async def scene(world, trouble):
-    world.cloud.boot_factor = lambda: random.uniform(0.85, 1.1)
-    if trouble:
-        world.cloud.down = True
-        world.record("the cloud is down")
-    graphics = world.job(
-        1, docket="images", bureau="north", form="service", rank="prod", vcpus=4.0, gpus=1.0, expect_s=0.0
-    )
-    pairs = [
-        world.job(10 + n, docket="pairs", bureau=team, form="group", entries=2, expect_s=5.0)
-        for n, team in enumerate(("north", "south", "east", "south"))
+    world.fails = lambda task, worker: task.job in MISTAKEN
+    # A replica of a service on each machine.
+    services = [
+        world.job(
+            number,
+            docket="search",
+            form="service",
+            rank="prod",
+            district=zone,
+            vcpus=4.0,
+            ram_gb=12.0,
+            loaners=False,
+            expect_s=0.0,
+            bureau=team,
+        )
+        for number, zone, team in zip((1, 2, 3), ZONES, ("north", "south", "east"), strict=True)
     ]
-    for job in (graphics, *pairs):
-        answer = await world.submit(job)
-        if answer is None or answer[0] != 201:
-            raise RuntimeError("a job was not accepted")
+    for job in services:
+        await world.submit(job)
+    # 48 ordinary jobs of a class, all of which are done before the two with a mistake: 4 % of 50.
+    ordinary = [world.job(10 + n, bureau=("north", "south", "east")[n % 3], expect_s=1.0) for n in range(48)]
+    await asyncio.gather(*(world.submit(job) for job in ordinary))
+    ready = await world.until(
+        lambda: (
+            all(world.running_on(job["id"]) for job in services)
+            and all((job["id"], 0) in world.results for job in ordinary)
+        ),
+        25.0,
+    )
+    if not ready:
+        raise RuntimeError("the deployment did not get ready")
     if trouble:
-        await asyncio.sleep(OUTAGE_S)
-        world.cloud.down = False
+        mistaken = [world.job(int(name[4:]), entries=2, bureau="south") for name in MISTAKEN]
+        for job in mistaken:
+            await world.submit(job)
+        await asyncio.sleep(8.0)
+        for job in mistaken:
+            await world.cancel(job["id"])
+        await world.until(lambda: not any(world.running_on(name) for name in MISTAKEN), 5.0)
     world.record("the troubles are over")
-
-    def left():
-        return [job for job in pairs if (job["id"], 1) not in world.results]
-
-    noted = now()
-    while now() < END_S and left():
-        await asyncio.sleep(0.2)
-        if now() - noted > 5.0:
-            noted = now()
-            world.record(
-                "note not done:",
-                len(left()),
-                "machines that fit a task, free CPUs:",
-                world.room_for(pairs[0]),
-            )
-    await asyncio.sleep(3.0)
-    answers = [await world.poll(job["id"], "rung-0") for job in pairs]
-    served = sum(a is not None and a[0] == 200 and a[1]["standing"] == "done" for a in answers)
-    world.record("note class pairs served:", served, "of", len(pairs))
-    if served < len(pairs) / 2:
-        world.breach("served", "class pairs:", served, "of", len(pairs), "jobs are done")
+    last = world.job(100, entries=4, bureau="east", expect_s=3.0)
+    await world.submit(last)
+    await world.check_waiting(last)
+    await world.poll(last["id"], "rung-0")
 
 
-play(Path(__file__).parent, scene, adjust=adjust)
+play(Path(__file__).parent, scene, prepare)
