state: a transaction that is too long is cut down to one change if need be

Cause: the group committer halves its share of a full transaction when the body is too long, and builds it again. At any share a transaction may have four changes; four records of 10 KB, or two of 25 KB, are still too long, the share has its minimum, and the loop goes round without waiting, so that the event loop never runs again.

Change: each attempt at a shorter transaction has at least one member fewer than the one before, down to one, which is sent at any length. So the loop ends after at most as many attempts as the first one had members, and what it sends is at most 0.6 of the limit or a single change. The share is reduced as before. `single` of the builder becomes `max_members`.

Measured: test_a_few_long_changes_do_not_make_the_committer_loop (three cases) and test_a_change_that_is_too_long_alone_is_sent_alone fail before (the change is evaluated a thousand times without an end) and pass now.

--- a/src/sandladder/state/batch.py
+++ b/src/sandladder/state/batch.py
@@ -81,7 +81,7 @@
         self._resolve = resolve
 
     def build(
-        self, queue: Sequence[PendingChange], max_operations: int, *, single: bool = False
+        self, queue: Sequence[PendingChange], max_operations: int, max_members: int | None = None
     ) -> Batch | None:
         """Build a batch in the order of the queue, or return None if no change needs a commit.
 
@@ -89,14 +89,14 @@
             queue: the changes to be evaluated.
             max_operations: the maximum number of puts and deletes.  A single change may exceed it,
                 up to the store's limit.
-            single: whether to take one change only.
+            max_members: the maximum number of changes to take, at least 1; None: no limit.
         """
         transaction = Transaction(self._cache, self._limits.value_bytes, self._in_doubt)
         members: list[PendingChange] = []
         for change in queue:
-            if members and (
-                single or transaction.size + change.added_to(transaction) > max_operations
-            ):
+            if len(members) == max_members:
+                break
+            if members and transaction.size + change.added_to(transaction) > max_operations:
                 break
             trial = self._evaluate(change, transaction)
             if trial is None:
--- a/src/sandladder/state/group_commit.py
+++ b/src/sandladder/state/group_commit.py
@@ -180,22 +180,35 @@
         if delay > 0 and not urgent:
             await self._added.wait(delay)
             return
-        batch = self._build(PRIORITY_URGENT_START if delay > 0 else LAST_PRIORITY)
-        if batch is None:
-            return
-        if len(batch.body) > _MAX_BODY_SHARE * codec.BODY_LIMIT and len(batch.members) > 1:
+        batch = self._build_sendable(PRIORITY_URGENT_START if delay > 0 else LAST_PRIORITY)
+        if batch is not None:
+            await self._send(batch)
+
+    def _build_sendable(self, max_priority: Priority) -> Batch | None:
+        """Build a batch whose body is short enough, or return None if no change needs a commit.
+
+        Each attempt has fewer members than the one before, as at the minimum share a few long
+        records may still be too long together.  A single change is sent at any length.
+        """
+        batch = self._build(max_priority)
+        while batch is not None and len(batch.members) > 1 and _is_too_long(batch):
             self._share = max(_MIN_SHARE_FOR_LONG_BODY, self._share * _SHARE_DECREASE)
-            return
-        await self._send(batch)
+            batch = self._build(max_priority, max_members=len(batch.members) - 1)
+        return batch
 
-    def _build(self, max_priority: Priority) -> Batch | None:
-        """Build a batch of changes up to a priority, or return None if none needs a commit."""
+    def _build(self, max_priority: Priority, max_members: int | None = None) -> Batch | None:
+        """Build a batch of changes up to a priority, or return None if none needs a commit.
+
+        The number of members is limited only if `max_members` is given.
+        """
         affordable = _MAX_TRANSACTION_S * self._store.limits.write_rps * self._store.writes.share
         max_operations = max(MIN_TXN_OPS, int(min(self._limits.txn_ops * self._share, affordable)))
         queue = fair_order(
             self._queue, max_priority, max_operations, clock.now() - self._max_wait_s
         )
-        return self._builder.build(queue, max_operations, single=self._one_by_one)
+        if self._one_by_one:
+            max_members = 1
+        return self._builder.build(queue, max_operations, max_members)
 
     async def _send(self, batch: Batch) -> None:
         try:
@@ -286,3 +299,7 @@
             if len(batch.members) == 1:
                 self._resolve(batch.members[0], PreconditionFailedError(str(error)))
             self._one_by_one = True
+
+
+def _is_too_long(batch: Batch) -> bool:
+    return len(batch.body) > _MAX_BODY_SHARE * codec.BODY_LIMIT
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,13 +1,15 @@
 """Tests of the token bucket, the group committer and the errors of the store."""
 
 from collections.abc import Callable
+from itertools import count
 from random import Random
 from typing import Any
 
 import anyio
+import pytest
 
 from sandladder.errors import SandladderError
-from sandladder.protocol import dumps, loads
+from sandladder.protocol import codec, dumps, loads
 from sandladder.state import (
     PRIORITY_BACKGROUND,
     PRIORITY_JOB,
@@ -114,16 +116,39 @@
     )
 
 
-def put(key: str, lease: int | None = None) -> Callable[[Transaction], bool]:
-    """Return a change that creates a key."""
+def put(key: str, lease: int | None = None, length: int = 0) -> Callable[[Transaction], bool]:
+    """Return a change that creates a key with a value of about `length` bytes.
+
+    It fails at the thousandth evaluation, so that an endless loop of the committer ends.
+    """
+    evaluations = count(1)
 
     def apply(transaction: Transaction) -> bool:
-        transaction.put(key, {}, 0, lease)
+        assert next(evaluations) < 1000
+        transaction.put(key, {"text": "x" * length} if length else {}, 0, lease)
         return True
 
     return apply
 
 
+def committed(revisions: int) -> list[Response]:
+    """Return the responses of a store that commits each of some transactions."""
+    return [Response(200, dumps({"ledger": 7 + number})) for number in range(revisions)]
+
+
+def put_requests(number: int, length: int) -> list[PendingChange]:
+    """Return some changes, each with one put of a value of about `length` bytes."""
+    return [
+        PendingChange(f"request {n}", PRIORITY_REQUEST, 1, put(f"s/p/{n}", length=length))
+        for n in range(number)
+    ]
+
+
+def committed_changes(store: ScriptedStore) -> list[int]:
+    """Return the number of puts of each transaction that the store received."""
+    return [len(body["apply"]) for body in store.bodies]
+
+
 async def run_until_resolved(committer: GroupCommitter, changes: list[PendingChange]) -> None:
     """Run the committer until each of the changes is committed or has failed."""
     async with anyio.create_task_group() as tasks:
@@ -192,6 +217,50 @@
     assert sorted(fair) == sorted(by_priority)
 
 
+def commit_all(changes: list[PendingChange], store: ScriptedStore) -> None:
+    """Run a committer until each of the changes is committed or has failed."""
+
+    async def main() -> None:
+        await run_until_resolved(make_committer(store), changes)
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(("number", "length"), [(4, 12_000), (2, 25_000), (12, 10_000)])
+def test_a_few_long_changes_do_not_make_the_committer_loop(number: int, length: int) -> None:
+    """Guards against a controller that hangs as too long a transaction is built without end."""
+    changes, store = put_requests(number, length), ScriptedStore(*committed(number))
+    commit_all(changes, store)
+    assert [change.error for change in changes] == [None] * number
+    assert sum(committed_changes(store)) == number
+    assert all(len(dumps(body)) <= 0.6 * codec.BODY_LIMIT for body in store.bodies)
+
+
+def test_a_change_that_is_too_long_alone_is_sent_alone() -> None:
+    changes, store = put_requests(3, 45_000), ScriptedStore(*committed(3))
+    commit_all(changes, store)
+    assert [change.error for change in changes] == [None] * 3
+    assert committed_changes(store) == [1, 1, 1]
+
+
+def test_a_long_transaction_is_cut_down_and_grows_again_after_commits() -> None:
+    """The other side of the guard: the share still bounds the transactions after a long one."""
+    changes, store = put_requests(30, 3_500), ScriptedStore(*committed(30))
+    commit_all(changes, store)
+    # Twelve of these changes are too long together; half a full transaction is not.
+    assert committed_changes(store)[:2] == [6, 9] and sum(committed_changes(store)) == 30
+    assert all(len(dumps(body)) <= 0.6 * codec.BODY_LIMIT for body in store.bodies)
+
+
+def test_a_transaction_is_cut_down_after_a_conflict() -> None:
+    changes = put_requests(12, 0)
+    conflict = Response(409, dumps({"failed": ["s/p/0"]}))
+    store = ScriptedStore(conflict, *committed(12))
+    commit_all(changes, store)
+    sizes = committed_changes(store)
+    assert sizes[:2] == [12, 6] and sum(sizes[1:]) == 12
+
+
 def test_errors_have_attributes_of_the_failure() -> None:
     assert ConflictError(["s/t/red", "s/j/x"]).failed == ["s/t/red", "s/j/x"]
     assert LeaseExpiredError(5).lease == 5
