autoscaling: the log states why an instance is drained

A machine is drained for being idle, for being underutilized or because too many jobs failed on it, and the log line was the same for all three. So the log could not tell which of them put machines out of use. Now it ends with the reason.

--- a/src/sandladder/autoscaling/instance_drainer.py
+++ b/src/sandladder/autoscaling/instance_drainer.py
@@ -72,11 +72,11 @@
     def _scale_in_records(self, wall_clock_s: float) -> dict[str, Machine]:
         """Return the new records of the instances that the policy scales in."""
         draining = {}
-        for machine in self._policy.scale_in_candidates(wall_clock_s):
+        for machine, reason in self._policy.scale_in_candidates(wall_clock_s).items():
             capacity = self._cluster_view.free_capacity(machine)
             record = self._records.record(machine)
             if capacity is not None and (record is None or record.state == ACTIVE):
-                log.info("draining instance %s", machine)
+                log.info("draining instance %s: %s", machine, reason)
                 draining[machine] = Machine(
                     capacity.type, capacity.zone, capacity.spot, DRAINING, wall_clock_s
                 )
--- a/src/sandladder/autoscaling/scale_in.py
+++ b/src/sandladder/autoscaling/scale_in.py
@@ -1,5 +1,6 @@
 """Selection of machines to drain: idle, failing or underutilized ones."""
 
+import enum
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -17,6 +18,14 @@
 _INSTANCES_PER_IDLE_DRAIN = 10
 
 
+class DrainReason(enum.StrEnum):
+    """Why a machine is drained, as the log states it."""
+
+    IDLE = "it is idle"
+    FAILING = "too many jobs failed on it"
+    UNDERUTILIZED = "it is underutilized"
+
+
 class IdleMachines:
     """Tracks the time since which each machine has been idle."""
 
--- a/src/sandladder/autoscaling/scaling_policy.py
+++ b/src/sandladder/autoscaling/scaling_policy.py
@@ -22,6 +22,7 @@
     provisioned_capacity,
 )
 from sandladder.autoscaling.scale_in import (
+    DrainReason,
     IdleMachines,
     UnderutilizedMachines,
     failing_machines,
@@ -105,23 +106,24 @@
             self._cluster_view, provisioned, self._refused, self._objectives, wall_clock_s
         )
 
-    def scale_in_candidates(self, wall_clock_s: float) -> list[str]:
+    def scale_in_candidates(self, wall_clock_s: float) -> dict[str, DrainReason]:
         """Return the machines to drain: long idle, failing or underutilized ones.
 
         Args:
             wall_clock_s: the time of day, in seconds.
         """
         cluster_view = self._cluster_view
-        chosen = self._surplus_machines(self._idle.long_idle(), wall_clock_s)
-        chosen += failing_machines(cluster_view)
+        surplus = self._surplus_machines(self._idle.long_idle(), wall_clock_s)
+        chosen = dict.fromkeys(surplus, DrainReason.IDLE)
+        chosen |= dict.fromkeys(failing_machines(cluster_view), DrainReason.FAILING)
         costliest = self._underutilized.costliest(self._work_lacks_capacity)
         if costliest is not None:
-            chosen.append(costliest)
+            chosen.setdefault(costliest, DrainReason.UNDERUTILIZED)
         instances = cluster_view.cache.instances
         draining_or_gone = {
             m for m, record in instances.items() if record.state in (DRAINING, GONE)
         }
-        return [machine for machine in dict.fromkeys(chosen) if machine not in draining_or_gone]
+        return {m: reason for m, reason in chosen.items() if m not in draining_or_gone}
 
     def _surplus_machines(self, idle: list[str], wall_clock_s: float) -> list[str]:
         """Return the idle machines that neither headroom nor usual demand needs."""
