scheduling: a job that fails everywhere does not count against machines

Cause: a machine on which two different jobs failed since its last done task is unusable and drains. The count did not ask whether these jobs fail elsewhere too, and only a done task could reduce it, which a machine without work cannot show.

Change: every controller is told of every failed attempt already, to free its capacity. It now notes the machines of each live job's failures (JobFailures, which also replaces the map that only the assignee's backoff filled). A job without a done task that failed on at least three machines, and on more than it runs on without a failure, no longer counts against a machine. A failure counts for three agent leases. No new message or field: the number of failed jobs is published by the controller to which the machine reports, as before.

Why this holds: a mistaken job fails wherever it goes, so it soon has more failures than places; a sound job on faulty machines runs or is done elsewhere, so its failures still count.

--- a/src/sandladder/agents/agent_session.py
+++ b/src/sandladder/agents/agent_session.py
@@ -39,7 +39,8 @@
         # it was sent.  Infinite otherwise.
         self.late_start_cancellations_known_until = math.inf
         self.command_in_flight = False
-        self.failed_jobs: set[str] = set()  # jobs with a failed task since the last success
+        # Jobs with a failed task since the last success, with the time of the latest failure.
+        self.failed_jobs: dict[str, float] = {}
         self._counted_exits: set[AttemptKey] = set()
 
     @property
@@ -75,7 +76,11 @@
             (task.job, task.task, task.attempt): task for task in heartbeat.tasks
         }
         self.seen_attempts.update(self.reported_tasks)
-        self._count_exits()
+        self._count_exits(now)
+
+    def forget_failures(self, before: float) -> None:
+        """Drop the failed jobs whose latest failure was before a time."""
+        self.failed_jobs = {job: at for job, at in self.failed_jobs.items() if at >= before}
 
     def accept_token(self) -> None:
         """Record that the agent has reported this controller's fencing token."""
@@ -97,18 +102,18 @@
         """Discard the state of the previous epoch, all of whose tasks have ended."""
         self.seen_attempts = set()
         self._counted_exits = set()
-        self.failed_jobs = set()
+        self.failed_jobs = {}
         # The agent rejects commands for an earlier epoch.
         self.rule_out_late_start()
 
-    def _count_exits(self) -> None:
+    def _count_exits(self, now: float) -> None:
         """Update the failed jobs from the tasks that were newly reported as exited."""
         for key, task in self.reported_tasks.items():
             if task.state != TASK_EXITED or key in self._counted_exits:
                 continue
             self._counted_exits.add(key)
             if task.cause == EXIT_ERROR:
-                self.failed_jobs.add(task.job)
+                self.failed_jobs[task.job] = now
             elif task.cause == EXIT_DONE:
-                self.failed_jobs = set()
+                self.failed_jobs = {}
         self._counted_exits &= self.reported_tasks.keys()
--- a/src/sandladder/jobs/backoff.py
+++ b/src/sandladder/jobs/backoff.py
@@ -19,7 +19,6 @@
     """
 
     def __init__(self, planner: Planner, workers: AgentSettings) -> None:
-        self._planner = planner
         self._cluster_view = planner.cluster_view
         self._workers = workers
         self._not_before: dict[str, float] = {}
@@ -49,9 +48,9 @@
 
         `delay_s`, the delay after the first failure, doubles with each further machine.
         """
-        failed_on = self._planner.failed_machines.setdefault(ended.job, set())
-        failed_on.add(ended.attempt.machine)
-        doublings = min(len(failed_on) - 1, _MAX_DOUBLINGS)
+        failures = self._cluster_view.job_failures
+        failures.add(ended.job, ended.attempt.machine)
+        doublings = min(len(failures.machines[ended.job]) - 1, _MAX_DOUBLINGS)
         return min(_MAX_DELAY_LEASES * self._workers.lease_s, delay_s * 2.0**doublings)
 
     def forget_expired(self, now: float) -> None:
--- a/src/sandladder/scheduling/cluster_view.py
+++ b/src/sandladder/scheduling/cluster_view.py
@@ -10,6 +10,7 @@
 from sandladder.agents import AgentSession, LeaseExpiryProof, Reconciler
 from sandladder.config import Settings
 from sandladder.model import (
+    FAILURES,
     NO_USAGE,
     Attempt,
     EndedAttempt,
@@ -28,6 +29,7 @@
 from sandladder.scheduling.gate import Gate
 from sandladder.scheduling.gpu_protection import GpuProtection
 from sandladder.scheduling.image_cache_index import ImageCacheIndex
+from sandladder.scheduling.job_failures import JobFailures
 from sandladder.scheduling.job_priorities import JobPriorities
 from sandladder.scheduling.machine_observations import MachineObservation, MachineObservations
 from sandladder.scheduling.premises import Resource
@@ -38,6 +40,10 @@
 # latest start.  The first two are a job's precedence.  A plain tuple sorts faster than a named one.
 OrderKey = tuple[int, int, float]
 
+# The time for which a failed job counts against a machine, in agent leases.  A machine may recover,
+# but shows it only if it is given work again.
+_FAILURE_RETENTION_LEASES = 3
+
 
 class ClusterView:
     """The observed machines, their free capacity, and the priorities of jobs.
@@ -65,6 +71,9 @@
         self.free_capacities = FreeCapacityIndex(cache, gate, self.observations, self.time)
         self.priorities = JobPriorities(settings, cache, self.time)
         self.gpu_protection = GpuProtection(cache, self.priorities, self.time)
+        self.job_failures = JobFailures()
+        lease_s = settings.platform.deployment.workers.lease_s
+        self._failure_retention_s = _FAILURE_RETENTION_LEASES * lease_s
         # The maximum ages of own and of other controllers' observations, and the interval of
         # inventories, in seconds.
         self.fresh_s = self.observations.fresh_s
@@ -113,6 +122,7 @@
 
     def record_heartbeat(self, agent: AgentSession) -> None:
         """Record a heartbeat that an agent sent to this controller."""
+        agent.forget_failures(before=self.now - self._failure_retention_s)
         self._record(agent.heartbeat.machine, self.observations.from_heartbeat(agent))
 
     def record_inventories(self) -> None:
@@ -183,10 +193,26 @@
             self.images.note_start(spec, attempt, kind, self.now)
 
     def note_ended(self, item: EndedAttempt) -> None:
-        """Free the capacity of an attempt with a proved end, before that end is committed."""
+        """Free the capacity of an attempt with a proved end, before that end is committed.
+
+        A failed attempt counts against its machine, unless the job fails everywhere.
+        """
+        if item.outcome in FAILURES:
+            self._note_failure(item)
         if self.free_capacities.note_ended(item):
             self.machine_changed(item.attempt.machine)
 
+    def _note_failure(self, item: EndedAttempt) -> None:
+        job = self.cache.jobs.get(item.job)
+        if job is None:
+            return
+        self.job_failures.add(job.id, item.attempt.machine)
+        if not self.job_failures.fails_everywhere(job):
+            return
+        for agent in self.reconciler.agents.values():
+            if agent.failed_jobs.pop(job.id, None) is not None:
+                self.record_heartbeat(agent)
+
     def avoid_machine(self, machine: str, for_s: float) -> None:
         """Exclude a machine for some seconds from placement, as it refused a start that should fit.
 
--- a/src/sandladder/scheduling/machine_selection.py
+++ b/src/sandladder/scheduling/machine_selection.py
@@ -34,7 +34,6 @@
         self._rng = rng
         # By job class, the objective for the time to start, in seconds.
         self.start_within_s = cluster_view.settings.start_objectives_s
-        self.failed_machines: dict[str, set[str]] = {}  # by job, the machines on which it failed
         # The time, in seconds, after which a selection may differ without any other change.
         self.next_change_s = math.inf
 
@@ -105,7 +104,7 @@
 
     def _without_failed(self, spec: JobSpec, machines: list[FreeCapacity]) -> list[FreeCapacity]:
         """Return the machines on which a job has not failed, or all if it failed on each."""
-        failed_on = self.failed_machines.get(spec.id)
+        failed_on = self._cluster_view.job_failures.machines.get(spec.id)
         if not failed_on:
             return machines
         return [capacity for capacity in machines if capacity.id not in failed_on] or machines
--- a/src/sandladder/scheduling/planner.py
+++ b/src/sandladder/scheduling/planner.py
@@ -34,7 +34,7 @@
         self.selector = MachineSelector(cluster_view, rng)
         self.reservation = Reservation(cluster_view)
         # By job, the machines on which its tasks failed.
-        self.failed_machines = self.selector.failed_machines
+        self.failed_machines = cluster_view.job_failures.machines
         self.urgent = False  # whether a planned job of the last round was urgent
 
     @property
