autoscaling: a draining instance that cannot be emptied gets work again

Cause: a draining instance becomes active never again. It leaves the state only by being returned, for which it must be empty; with a replica that cannot be moved it is neither empty nor given work, whatever became of the reason.

Change: when a job has waited for longer than a machine for it takes to boot, and the tasks that lack capacity fit on a draining instance that still has tasks, the autoscaler makes its record active, and requests nothing from the cloud for these tasks. Left out are machines with a notice, silent ones, and those on which too many jobs failed. An instance with a queued change of its record is not returned in that round.

Why this works: an empty draining instance is returned in the next round, one with tasks is taken back as soon as work needs it, so the state always ends. Waiting for a boot first leaves the draining of underutilized machines as it is wherever the cloud delivers.

Measured: test_an_underutilized_machine_that_cannot_be_emptied_gets_waiting_work fails before (the job is not done in 90 s) and passes now.

--- a/src/sandladder/autoscaling/autoscaler.py
+++ b/src/sandladder/autoscaling/autoscaler.py
@@ -157,10 +157,15 @@
         await self._records.flush()
 
     async def _scale_out(self) -> None:
-        """Send the scale-out requests concurrently, so that refusals do not delay the round."""
+        """Take back draining instances, and send the scale-out requests.
+
+        The requests are concurrent, so that refusals do not delay the round.
+        """
+        wall_clock_s = self._controller.wall_clock_s()
+        requests = self._policy.scale_out_requests(wall_clock_s, self._records.unwritten)
+        self._drainer.reactivate(self._policy.reactivated, wall_clock_s)
         async with anyio.create_task_group() as launches:
-            wall_clock_s = self._controller.wall_clock_s()
-            for request in self._policy.scale_out_requests(wall_clock_s, self._records.unwritten):
+            for request in requests:
                 if self._cloud.rate_limit.delay(1) > 0:
                     break  # requests are in order of urgency; the next round recomputes the rest
                 launches.start_soon(self._launcher.launch, request)
--- a/src/sandladder/autoscaling/instance_drainer.py
+++ b/src/sandladder/autoscaling/instance_drainer.py
@@ -1,6 +1,7 @@
 """Draining of instances and their return to the cloud."""
 
 import logging
+from collections.abc import Iterable
 
 import anyio
 
@@ -82,6 +83,19 @@
                 )
         return draining
 
+    def reactivate(self, machines: Iterable[str], wall_clock_s: float) -> None:
+        """Mark draining instances as active, so that tasks are placed on them again.
+
+        `wall_clock_s` is the time of day, in seconds.
+        """
+        active = {}
+        for machine in machines:
+            record = self._records.record(machine)
+            if record is not None and record.state == DRAINING:
+                log.info("reactivating instance %s: work waits for capacity", machine)
+                active[machine] = record._replace(state=ACTIVE, since=wall_clock_s)
+        self._records.queue(active)
+
     def _active_unresponsive(self, wall_clock_s: float) -> list[str]:
         """Return the unresponsive instances that are not draining yet."""
         machines = []
@@ -130,6 +144,7 @@
             machine
             for machine, record in self._cache.instances.items()
             if record.state == DRAINING
+            and self._records.record(machine) == record
             and (machine not in self._cache.attempts_by_machine or machine in unresponsive)
         ][:MAX_INSTANCES_PER_RETURN]
         if not ready:
--- a/src/sandladder/autoscaling/scaling_policy.py
+++ b/src/sandladder/autoscaling/scaling_policy.py
@@ -21,6 +21,7 @@
     ProvisionedCapacity,
     provisioned_capacity,
 )
+from sandladder.autoscaling.reactivation import reactivate_for
 from sandladder.autoscaling.scale_in import (
     DrainReason,
     IdleMachines,
@@ -44,7 +45,11 @@
 
 
 class ScalingPolicy:
-    """Decides on scaling out and in for all instances."""
+    """Decides on scaling out and in for all instances.
+
+    Attributes:
+        reactivated: the draining instances that `scale_out_requests` assigned waiting work to.
+    """
 
     def __init__(self, cluster_view: ClusterView) -> None:
         self._cluster_view = cluster_view
@@ -57,6 +62,7 @@
         self._idle = IdleMachines(cluster_view)
         self._underutilized = UnderutilizedMachines(cluster_view)
         self._work_lacks_capacity = False
+        self.reactivated: list[str] = []
 
     def record_refusal(self, request: ScaleOutRequest) -> None:
         """Record that the cloud lacked capacity for the request, or for a part of it."""
@@ -71,12 +77,15 @@
     ) -> list[ScaleOutRequest]:
         """Return the requests to send to the cloud now, the most urgent first.
 
+        Also updates `reactivated`.
+
         Args:
             wall_clock_s: the time of day, in seconds.
             unwritten: the queued changes of instance records; None marks a record to remove.
                 They prevent duplicate requests for instances that are created but not recorded.
         """
         cluster_view = self._cluster_view
+        self.reactivated = []
         if not cluster_view.cache.machine_types:
             return []
         updated = {machine: record for machine, record in (unwritten or {}).items() if record}
@@ -85,7 +94,8 @@
         waiting = waiting_work(inputs)
         self._work_lacks_capacity = bool(waiting.shortages)
         self._demand.record(with_running_work(waiting.demand, cluster_view), cluster_view.now)
-        shortages = waiting.shortages + usual_demand_shortages(
+        self.reactivated, shortages = reactivate_for(cluster_view, waiting.shortages, wall_clock_s)
+        shortages += usual_demand_shortages(
             self._demand, provisioned.cores.total, self._jobs.latest_specs()
         )
         shortages += displaced_replica_shortages(inputs)
--- a/src/sandladder/scheduling/cluster_view.py
+++ b/src/sandladder/scheduling/cluster_view.py
@@ -85,6 +85,7 @@
         # Bound methods rather than wrappers, which would cost a call per machine or job.
         self.free_capacity = self.free_capacities.get
         self.usable_free_capacities = self.free_capacities.usable
+        self.accepts_work = self.free_capacities.accepts_work
         self.service_cpus = self.free_capacities.service_cpus
         self.avoids_gpus = self.gpu_protection.avoids_gpus
         self.observation = self.observations.get
--- a/src/sandladder/scheduling/free_capacity_index.py
+++ b/src/sandladder/scheduling/free_capacity_index.py
@@ -126,14 +126,24 @@
             memory_gb -= pending_start.spec.memory_gb
         return cpus, gpus, memory_gb
 
+    def accepts_work(self, machine: str) -> bool:
+        """Return whether a machine could be given work, regardless of its instance's record."""
+        observation = self._observations.get(machine)
+        return observation is not None and self._accepts_work(machine, observation)[0]
+
     def _usable(self, machine: str, observation: MachineObservation) -> tuple[bool, float]:
         """Return whether a machine can be given work, and the time until which that is valid."""
-        status = observation.status
         instance = self._cache.instances.get(machine)
+        if instance is not None and instance.state in ("draining", "gone"):
+            return False, math.inf
+        return self._accepts_work(machine, observation)
+
+    def _accepts_work(self, machine: str, observation: MachineObservation) -> tuple[bool, float]:
+        """Return `accepts_work`, and the time until which that is valid."""
+        status = observation.status
         eligible = (
             status.notice_s is None
             and status.errors < UNHEALTHY_FAILURES
-            and (instance is None or instance.state not in ("draining", "gone"))
             and observation.reporting_controller not in self._avoided_controllers
         )
         if not eligible:
