transport: a connection that a peer closes at once is not opened again without a pause

Cause: PeerConnection.run opens the next connection as soon as one is lost.

Change: the next connection is opened no sooner than a heartbeat interval after the previous one was. The loss of a connection that was open for longer still has no delay.

--- a/src/sandladder/transport/peer_transport.py
+++ b/src/sandladder/transport/peer_transport.py
@@ -99,7 +99,8 @@
     async def run(self, heartbeat: HeartbeatSource) -> None:
         """Keep a connection open and send on it until cancelled, then close it.
 
-        While the peer is unreachable, queued messages are dropped.
+        While the peer is unreachable, queued messages are dropped.  A connection is opened no sooner
+        than a heartbeat interval after the previous one, as a peer may close each one at once.
         """
         while True:
             stream = await self._connect()
@@ -107,11 +108,13 @@
                 self._queue.clear()
                 await anyio.sleep(self._heartbeat_interval_s)
                 continue
+            opened_at = clock.now()
             self._on_connection_attempt(self.peer.node_name, False)
             with contextlib.suppress(*_CONNECTION_ERRORS):
                 async with stream:
                     await self._send_until_closed(stream, heartbeat)
             log.info("connection to peer %s was lost", self.peer.node_name)
+            await anyio.sleep(max(0.0, opened_at + self._heartbeat_interval_s - clock.now()))
 
     async def _connect(self) -> SocketStream | None:
         """Connect to the peer; on a failure call the callback and return None."""
--- a/tests/peers/test_peer_transport.py
+++ b/tests/peers/test_peer_transport.py
@@ -44,12 +44,12 @@
 class Sender:
     """A connection to a controller that records the reported connection events."""
 
-    def __init__(self, addr: str) -> None:
+    def __init__(self, addr: str, heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S) -> None:
         self.connection_events: list[tuple[str, bool]] = []
         peer = PeerAddress(node_name="node-1", addr=addr)
         self.connection = PeerConnection(
             peer,
-            HEARTBEAT_INTERVAL_S,
+            heartbeat_interval_s,
             lambda node, refused: self.connection_events.append((node, refused)),
         )
 
@@ -139,6 +139,47 @@
     assert receiver.received == []
 
 
+def test_connections_that_are_closed_at_once_are_opened_once_in_a_heartbeat_interval() -> None:
+    """Guards against a controller that does nothing but open connections."""
+    receiver = Receiver(max_connections=0)
+    sender = Sender(receiver.addr)
+
+    async def main(tasks: anyio.abc.TaskGroup) -> None:
+        await tasks.start(receiver.serve)
+        began = anyio.current_time()
+        tasks.start_soon(sender.run)
+        await anyio.sleep(10 * HEARTBEAT_INTERVAL_S)
+        elapsed_s = anyio.current_time() - began
+        assert 2 <= len(sender.connection_events) <= 1 + elapsed_s / HEARTBEAT_INTERVAL_S
+
+    run(main)
+
+
+def test_a_connection_that_was_open_for_long_is_reopened_without_delay() -> None:
+    """The other side: the pause does not add to the loss of an established connection."""
+    interval_s = 1.0
+    opened: list[float] = []
+    closed: list[float] = []
+
+    async def close_later(stream: anyio.abc.SocketStream) -> None:
+        opened.append(anyio.current_time())
+        await anyio.sleep(interval_s)
+        closed.append(anyio.current_time())
+        await stream.aclose()
+
+    async def main(tasks: anyio.abc.TaskGroup) -> None:
+        addr = free_address()
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=int(addr.rpartition(":")[2])
+        )
+        tasks.start_soon(listener.serve, close_later)
+        tasks.start_soon(Sender(addr, interval_s).run)
+        await wait_until(lambda: len(opened) == 2)
+
+    run(main)
+    assert opened[1] - closed[0] < interval_s
+
+
 def test_a_message_of_unknown_kind_is_ignored_and_the_next_one_is_received() -> None:
     receiver = Receiver()
     unknown = msgspec.msgpack.encode(["greeting", 1])
