--- a/src/sandladder/transport/peer_transport.py
+++ b/src/sandladder/transport/peer_transport.py
@@ -99,8 +99,8 @@
     async def run(self, heartbeat: HeartbeatSource) -> None:
         """Keep a connection open and send on it until cancelled, then close it.
 
-        While the peer is unreachable, queued messages are dropped.  A connection is opened no sooner
-        than a heartbeat interval after the previous one, as a peer may close each one at once.
+        While the peer is unreachable, queued messages are dropped.  A peer may close a connection
+        at once, so the next one is opened no sooner than a heartbeat interval after the last one.
         """
         while True:
             stream = await self._connect()
