autoscaling: instances for jobs that are spread over zones are chosen in chunks too

Cause: choose_instances covers most of a long backlog in chunks, so that the number of its steps hardly grows, but not if zones are limited; then it chose one instance a step.

Change: chunks are used there too, up to what the zone of the best offer may still take, and count against that zone.

The cases `apart` and `same_place` of test_instances_for_a_long_backlog_are_chosen_in_few_chunks fail before and pass now; that no zone gets more than half of the tasks is tested for 7, 40 and 1001 tasks, before and now.

--- a/src/sandladder/autoscaling/scale_out.py
+++ b/src/sandladder/autoscaling/scale_out.py
@@ -62,12 +62,15 @@
             if best is None:
                 break
             new_bin = Bin(best.type, best.zone, best.spot)
-            if zones is None:
-                # Most of a long backlog is covered in chunks, the rest instance by instance.
-                tasks_per_instance = max(1, new_bin.tasks_that_fit(spec, missing))
-                full_instances = missing // tasks_per_instance // _BACKLOG_CHUNKS
-                wanted[best.offer] += full_instances
-                missing -= full_instances * tasks_per_instance
+            # Most of a long backlog is covered in chunks, the rest instance by instance.
+            allowed = missing if zones is None else min(missing, zones.left(best.zone))
+            tasks_per_instance = max(1, new_bin.tasks_that_fit(spec, allowed))
+            full_instances = allowed // tasks_per_instance // _BACKLOG_CHUNKS
+            covered = full_instances * tasks_per_instance
+            if zones is not None:
+                zones.take(best.zone, covered)
+            wanted[best.offer] += full_instances
+            missing -= covered
             wanted[best.offer] += 1
             missing -= pack(spec, missing, [new_bin], zones=zones)
             if new_bin.cpus + EPSILON >= min_task_cpus:
--- a/tests/test_autoscaling.py
+++ b/tests/test_autoscaling.py
@@ -210,7 +210,10 @@
     anyio.run(main, backend_options={"loop_factory": VirtualTimeEventLoop})
 
 
-def test_instances_for_a_long_backlog_are_chosen_in_few_chunks(monkeypatch) -> None:
+@pytest.mark.parametrize("placement", [{}, {"apart": True}, {"same_place": True}])
+def test_instances_for_a_long_backlog_are_chosen_in_few_chunks(
+    monkeypatch, placement: dict[str, bool]
+) -> None:
     """Guards against choosing hundreds of instances one by one in each round."""
     choices = 0
     cheapest_offer = scale_out.cheapest_offer
@@ -223,7 +226,7 @@
     monkeypatch.setattr(scale_out, "cheapest_offer", counted)
     cluster_view, _, cache, _ = scheduler_with_two_machines()
     cluster_view.team_limits["red"] = TeamLimits("red")
-    accept(cache, entries=8000, vcpus=2.0, ram_gb=1.0, rank="urgent")
+    accept(cache, entries=8000, vcpus=2.0, ram_gb=1.0, rank="urgent", **placement)
     requested = ScalingPolicy(cluster_view).scale_out_requests(0.0)
     assert sum(request.number for request in requested) >= 50
     assert 0 < choices <= 150
@@ -256,3 +259,19 @@
         requests = ScalingPolicy(cluster_view).scale_out_requests(0.0)
         assert sum(request.number for request in requests) > 0
     assert 0 < scans[200] <= scans[20]
+
+
+@pytest.mark.parametrize("entries", [7, 40, 1001])
+def test_instances_chosen_in_chunks_keep_the_limit_of_each_zone(monkeypatch, entries: int) -> None:
+    """The other side: at most half of a spread job's tasks, rounded up, go to one zone."""
+    monkeypatch.setattr(scale_out, "_MAX_INSTANCES_PER_REQUEST", entries)
+    cluster_view, _, cache, _ = scheduler_with_two_machines()
+    cluster_view.team_limits["red"] = TeamLimits("red")
+    cluster_view.now = 100.0  # the two machines are silent
+    # One task fits a small machine, which is the only type allowed.
+    accept(cache, entries=entries, vcpus=4.0, ram_gb=1.0, rank="prod", apart=True, breeds=["small"])
+    by_zone = Counter[str]()
+    for (_, zone), number in requested_instances(cluster_view).items():
+        by_zone[zone] += number
+    assert sum(by_zone.values()) == entries
+    assert max(by_zone.values()) <= (entries + 1) // 2
