--- a/tests/simulation/machines.py
+++ b/tests/simulation/machines.py
@@ -52,6 +52,8 @@
         self.hung_until = 0.0  # until then the machine neither runs tasks nor communicates
         # Until then its heartbeats arrive, while responses and direct commands are lost.
         self.responses_lost_until = 0.0
+        # Until then direct commands are held up, and executed late if they are still valid.
+        self.commands_held_until = 0.0
         # Until then its heartbeats are lost, while direct commands arrive.
         self.heartbeats_lost_until = 0.0
         self.faulty = False  # every task that starts on the machine fails
--- a/tests/simulation/workers.py
+++ b/tests/simulation/workers.py
@@ -122,6 +122,9 @@
         """Handle a direct request of a controller; never returns on a terminated machine."""
         while now() < self.hung_until:
             await anyio.sleep(0.5)
+        while request.path == "/do" and now() < self.commands_held_until:
+            await anyio.sleep(0.5)
+            self._shared.observed["command held"] += 1
         if self.state != "running" or now() < self.responses_lost_until:
             await anyio.sleep(_NEVER_S)
         if request.path == "/do":
