autoscaling: a machine is missing from the list only by the times of the requests that showed it

An instance recorded as gone ends all its attempts, so one that runs would have its tasks run twice.

A list is read page by page; all its machines counted as listed at the time taken before the first page. A page that is answered late shows machines that are newer than that time, and the next list may be up to twice the lag old. With a list of more than half a lag (more pages, a slow cloud, a pause between pages), the limit of 2.5 lags was reached by a machine that every list from its creation on could miss.

In whole clusters the autoscaler's lease of a third of an agent's bounds the window: a list longer than that is dropped by its successor, so it was not reproduced there.

Fix: a list carries when its first page was requested and its last one received (`MachineList`). What it shows existed by the later time, what it lacks was missing after the earlier one less twice the lag, so the 2.5 lags are counted between the end of one and the beginning of the other.

The simulated cloud answers in pages of 500 or fewer, each with its own lag, and can delay or refuse each page. The log line names the pages, their duration and the age of the last listing.

--- a/src/sandladder/autoscaling/cloud_client.py
+++ b/src/sandladder/autoscaling/cloud_client.py
@@ -1,5 +1,8 @@
 """The client of the cloud's API."""
 
+from typing import NamedTuple
+
+from sandladder import clock
 from sandladder.autoscaling.offers import ScaleOutRequest
 from sandladder.errors import SandladderError
 from sandladder.model import ListedMachine, MachineType
@@ -27,6 +30,25 @@
     """The cloud has no capacity for this offer at present."""
 
 
+class MachineList(NamedTuple):
+    """A complete list of machines, whose pages may describe different times.
+
+    A machine that it shows existed at `received_at` at the latest.  A machine that it does not show
+    was missing at some time not before `requested_at` less the largest staleness of the list.
+
+    Attributes:
+        machines: the machines of all pages.
+        pages: the number of pages.
+        requested_at: when the first page was requested, in seconds on the steady clock.
+        received_at: when the last page was received, likewise.
+    """
+
+    machines: list[ListedMachine]
+    pages: int
+    requested_at: float
+    received_at: float
+
+
 class CloudClient:
     """Sends requests to the cloud and counts them against its rate limit.
 
@@ -76,16 +98,19 @@
             "POST", cloud_messages.RETURN_PATH, cloud_messages.return_body(machines)
         )
 
-    async def list_machines(self) -> list[ListedMachine]:
+    async def list_machines(self) -> MachineList:
         """Return the complete list of machines, which may be older than the previous one."""
         machines: list[ListedMachine] = []
+        pages = 0
+        requested_at = clock.now()
         after = ""
         while True:
             response = await self._request("GET", cloud_messages.machines_target(after))
             page, has_more = cloud_messages.parse_machines(response.body)
             machines += page
+            pages += 1
             if not has_more or not page:
-                return machines
+                return MachineList(machines, pages, requested_at, clock.now())
             after = page[-1].id
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
--- a/src/sandladder/autoscaling/instance_reconciler.py
+++ b/src/sandladder/autoscaling/instance_reconciler.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Iterable
 
-from sandladder.autoscaling.cloud_client import MAX_INSTANCES_PER_RETURN, CloudClient
+from sandladder.autoscaling.cloud_client import MAX_INSTANCES_PER_RETURN, CloudClient, MachineList
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
 from sandladder.autoscaling.instance_states import ACTIVE, DRAINING, GONE, LISTED_FAILED
 from sandladder.autoscaling.unresponsive import boot_is_overdue
@@ -74,20 +74,25 @@
         if now < self._next_list_at:
             return
         self._next_list_at = now + self._list_lag_s / _LISTS_PER_LAG
-        listed = await self._cloud.list_machines()
-        self._listed_at |= {item.id: now for item in listed}
-        self._addresses |= {item.id: item.addr for item in listed}
+        listing = await self._cloud.list_machines()
+        listed = listing.machines
         changes = self._adopted_or_failed(listed, wall_clock_s)
-        changes |= self._missing_from_list(listed, now, wall_clock_s)
+        changes |= self._missing_from_list(listing, wall_clock_s)
         changes |= self._overdue_boots(listed, wall_clock_s)
+        self._record_listing(listing)
         self._records.queue(changes)
         failed = [item.id for item in listed if item.state == LISTED_FAILED]
         if failed:
             await self._cloud.return_instances(failed[:MAX_INSTANCES_PER_RETURN])
         self._remove_obsolete(wall_clock_s)
+
+    def _record_listing(self, listing: MachineList) -> None:
+        """Record when the machines were listed, and forget those that were not for long."""
+        self._listed_at |= {item.id: listing.received_at for item in listing.machines}
+        retained_since = listing.requested_at - _LISTING_RETENTION_LAGS * self._list_lag_s
+        self._listed_at = {m: at for m, at in self._listed_at.items() if at > retained_since}
+        self._addresses |= {item.id: item.addr for item in listing.machines}
         self._addresses = {m: a for m, a in self._addresses.items() if m in self._listed_at}
-        retention_s = _LISTING_RETENTION_LAGS * self._list_lag_s
-        self._listed_at = {m: at for m, at in self._listed_at.items() if now - at < retention_s}
 
     def _adopted_or_failed(
         self, listed: Iterable[ListedMachine], wall_clock_s: float
@@ -104,18 +109,28 @@
                 changes[item.id] = record._replace(state=GONE, since=wall_clock_s)
         return changes
 
-    def _missing_from_list(
-        self, listed: Iterable[ListedMachine], now: float, wall_clock_s: float
-    ) -> dict[str, Machine]:
-        """Return the changes for instances that have been missing from the list for too long."""
-        listed_ids = {item.id for item in listed}
+    def _missing_from_list(self, listing: MachineList, wall_clock_s: float) -> dict[str, Machine]:
+        """Return the changes for instances that have been missing from the list for too long.
+
+        The time is counted from the end of the last list that showed the instance to the beginning
+        of this one: a list takes several requests, and may be delayed at each.
+        """
+        listed_ids = {item.id for item in listing.machines}
         changes = {}
         for machine, record in self._cache.instances.items():
             last_listed_at = self._listed_at.get(machine)
             if machine in listed_ids or record.state == GONE or last_listed_at is None:
                 continue
-            if now - last_listed_at > _MISSING_LAGS * self._list_lag_s:
-                log.info("instance %s is missing from the cloud's list", machine)
+            missing_s = listing.requested_at - last_listed_at
+            if missing_s > _MISSING_LAGS * self._list_lag_s:
+                log.info(
+                    "instance %s is missing from the cloud's list: %d pages read in %.1f s, "
+                    "requested %.1f s after it was last listed",
+                    machine,
+                    listing.pages,
+                    listing.received_at - listing.requested_at,
+                    missing_s,
+                )
                 changes[machine] = record._replace(state=GONE, since=wall_clock_s)
         return changes
 
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -2,8 +2,9 @@
 
 import itertools
 from collections import deque
+from collections.abc import Callable
 from typing import Any
-from urllib.parse import urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 import anyio
 import cbor2
@@ -37,6 +38,11 @@
         self.full_zones: set[str] = set()  # zones without capacity
         self.fast_boot_share = 0.0  # share of the machines that boot within two seconds
         self.never_booting = 0  # the first N machines never boot
+        self.page_machines = 500  # largest page of the list
+        self.list_lag_s: float | None = None  # lag of each page; random if None
+        self.list_delay_s = 0.0  # delay of each page's response, in seconds
+        # Called with the `after` of each request for a page; the status of its response if not 200.
+        self.on_list: Callable[[str], int | None] | None = None
 
     async def record_snapshots(self) -> None:
         """Record snapshots of the machine list until cancelled."""
@@ -65,11 +71,13 @@
 
     async def handle(self, source: str, request: Request) -> Response:
         """Handle a request of a controller."""
-        path = urlsplit(request.path).path
+        url = urlsplit(request.path)
+        path = url.path
         if path == "/catalog":
             return self._catalog()
         if request.method == "GET":
-            return self._list()
+            query = parse_qs(url.query)
+            return await self._list(query.get("after", [""])[0], int(query["most"][0]))
         body = cbor2.loads(request.body)
         if path == "/machines/return":
             return self._return(body["rungs"])
@@ -84,10 +92,20 @@
         ]
         return Response(200, cbor2.dumps({"breeds": types}))
 
-    def _list(self) -> Response:
-        lag_s = self._shared.rng.uniform(0.0, 2 * LIST_LAG_S)
-        past = [page for at, page in self._history if at <= now() - lag_s]
-        return Response(200, cbor2.dumps({"rungs": past[-1] if past else [], "more": False}))
+    async def _list(self, after: str, most: int) -> Response:
+        """Return a page; pages of one list may describe different times."""
+        status = None if self.on_list is None else self.on_list(after)
+        if status is not None:
+            return Response(status)
+        lag_s = self.list_lag_s
+        if lag_s is None:
+            lag_s = self._shared.rng.uniform(0.0, 2 * LIST_LAG_S)
+        past = [listed for at, listed in self._history if at <= now() - lag_s]
+        following = [item for item in (past[-1] if past else []) if item["id"] > after]
+        page = following[: min(most, self.page_machines)]
+        if self.list_delay_s:
+            await anyio.sleep(self.list_delay_s)
+        return Response(200, cbor2.dumps({"rungs": page, "more": len(page) < len(following)}))
 
     def _return(self, names: list[str]) -> Response:
         for name in names:
