autoscaling: a malformed page of the machine list ends the round, and no machine is missing from it

Cause: a guess in place of an answer. An empty page with more to follow ended the list as complete, an item that is no map was skipped, and a page without `more` counted as the last: the machines left out then count as missing, and after 2.5 lags as gone. A page that repeats was requested forever. Fix: each is a `MalformedMessageError`, after which the autoscaler's round ends without a change, and is tried again.

--- a/src/sandladder/autoscaling/cloud_client.py
+++ b/src/sandladder/autoscaling/cloud_client.py
@@ -6,7 +6,7 @@
 from sandladder.autoscaling.offers import ScaleOutRequest
 from sandladder.errors import SandladderError
 from sandladder.model import ListedMachine, MachineType
-from sandladder.protocol import cloud_messages
+from sandladder.protocol import MalformedMessageError, cloud_messages
 from sandladder.state import AdaptiveTokenBucket
 from sandladder.transport import HttpError, HttpRequester, Response
 
@@ -109,8 +109,11 @@
             page, has_more = cloud_messages.parse_machines(response.body)
             machines += page
             pages += 1
-            if not has_more or not page:
+            if not has_more:
                 return MachineList(machines, pages, requested_at, clock.now())
+            if not page or page[-1].id <= after:
+                # Ending the list here would make the machines of further pages look missing.
+                raise MalformedMessageError("a page that more follow must have later machines")
             after = page[-1].id
 
     async def _request(self, method: str, target: str, body: bytes = b"") -> Response:
--- a/src/sandladder/protocol/cloud_messages.py
+++ b/src/sandladder/protocol/cloud_messages.py
@@ -103,18 +103,23 @@
 def parse_machines(body: bytes) -> MachinePage:
     """Parse one page of the machine list.
 
+    No item is skipped, as a machine without an item counts as missing.
+
     Raises:
-        MalformedMessageError: the body is malformed.
+        MalformedMessageError: the body or any of its items is malformed.
     """
     raw = loads_map(body)
-    items = raw.get("rungs")
+    items, more = raw.get("rungs"), raw.get("more")
     if not isinstance(items, list):
         raise MalformedMessageError("a list is needed", "rungs")
-    machines = [_parse_listed_machine(item) for item in items if isinstance(item, dict)]
-    return MachinePage(machines, raw.get("more") is True)
+    if not isinstance(more, bool):
+        raise MalformedMessageError("true or false is needed", "more")
+    return MachinePage([_parse_listed_machine(item) for item in items], more)
 
 
-def _parse_listed_machine(raw: dict[Any, Any]) -> ListedMachine:
+def _parse_listed_machine(raw: Any) -> ListedMachine:
+    if not isinstance(raw, dict):
+        raise MalformedMessageError("maps are needed", "rungs")
     state = str(raw.get("standing"))
     return ListedMachine(
         id=read_text(raw, "id"),
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -4,14 +4,16 @@
 from types import SimpleNamespace
 
 import anyio
+import cbor2
 import pytest
 
 from sandladder.autoscaling import CloudClient, CloudError
 from sandladder.autoscaling.instance_reconciler import InstanceReconciler
 from sandladder.autoscaling.instance_states import ACTIVE, GONE
 from sandladder.model import Machine
+from sandladder.protocol import MalformedMessageError
 from sandladder.state import StateCache
-from sandladder.transport import HttpError
+from sandladder.transport import HttpError, Response
 from simulation import ZONES, SimulatedCluster, now, run
 from simulation.deployment import LIST_LAG_S
 from simulation.network import SimulatedHttpClient
@@ -124,3 +126,39 @@
         assert not fixture.gone
 
     run_with_list(main)
+
+
+def listed(name: str) -> dict[str, object]:
+    """Return a well-formed item of the list."""
+    kind = {"id": name, "addr": f"{name}:1", "breed": "large", "district": "north"}
+    return kind | {"loaners": False, "standing": "running", "age_s": 1.0}
+
+
+MALFORMED_PAGES: dict[str, dict[str, object]] = {
+    "empty, with more to follow": {"rungs": [], "more": True},
+    "without the mark of the last page": {"rungs": [listed("vm-000001")]},
+    "an item that is no map": {"rungs": ["vm-000001", listed("vm-000002")], "more": False},
+    "the same page again": {"rungs": [listed("vm-000001")], "more": True},
+}
+
+
+@pytest.mark.parametrize("page", MALFORMED_PAGES.values(), ids=MALFORMED_PAGES)
+def test_no_machine_is_gone_after_a_malformed_page(page: dict[str, object]) -> None:
+    class MalformedCloud:
+        """Returns the same page for every request."""
+
+        async def request(
+            self, method: str, target: str, body: bytes = b"", *, timeout: float
+        ) -> Response:
+            await anyio.sleep(0.01)
+            return Response(200, cbor2.dumps(page))
+
+    async def main(fixture: ListFixture) -> None:
+        await fixture.reconcile()
+        fixture.client._client = MalformedCloud()  # type: ignore[assignment]
+        await anyio.sleep(3 * LIST_LAG_S)
+        with anyio.fail_after(1.0), pytest.raises(MalformedMessageError):
+            await fixture.reconcile()
+        assert not fixture.gone
+
+    run_with_list(main)
