agents: one module decides that an attempt has ended, with its evidence, and wrong ends show in tests and logs

Behaviour is unchanged but for log lines. `LeaseExpiryProof` states the bounds of each controller's answers, on which an expiry rests, and they are logged once an epoch; an acquired token is logged with the revision that was read.

`EndContradictions`: an attempt that its agent shows running right before it obeys the stop, in the same epoch, while the records no longer hold it. Logged as an error with both attempts, counted in the statistics; every simulated cluster fails on the count.

--- a/src/sandladder/agents/__init__.py
+++ b/src/sandladder/agents/__init__.py
@@ -1,9 +1,10 @@
 """Agent heartbeats, commands to agents, and agent leases.
 
 An agent reports the tasks on its machine; the committed starts in the store define which tasks
-should run there.  `Reconciler` derives commands and proved task ends from the difference, and
-`AgentService` exchanges heartbeats and commands with the agents.  `LeaseRenewalGuard` decides
-whether an agent's lease may be renewed, `LeaseExpiryProof` whether it has certainly expired.
+should run there.  `Reconciler` derives commands from the difference, `attempt_ends` decides which
+attempts have ended, and `AgentService` exchanges heartbeats and commands with the agents.
+`LeaseRenewalGuard` decides whether an agent's lease may be renewed, `LeaseExpiryProof` whether it
+has certainly expired.
 
 The package keeps, in memory only, one `AgentSession` per agent that reports to this controller, the
 HTTP clients for sending commands, and the time of the last answer to each agent.  It does not
@@ -13,6 +14,7 @@
 
 from sandladder.agents.agent_service import AgentService
 from sandladder.agents.agent_session import AgentSession
+from sandladder.agents.attempt_ends import reported_ends
 from sandladder.agents.collaborators import (
     AgentRecords,
     ControllerGroup,
@@ -36,4 +38,5 @@
     "ReportingAgents",
     "SchedulerCallbacks",
     "StoreAccess",
+    "reported_ends",
 ]
--- a/src/sandladder/agents/agent_expiry.py
+++ b/src/sandladder/agents/agent_expiry.py
@@ -4,19 +4,16 @@
 
 from sandladder.agents.agent_clients import AgentClients
 from sandladder.agents.agent_redirect import AgentRedirect
+from sandladder.agents.attempt_ends import LostAttempts, reported_ends
 from sandladder.agents.collaborators import AgentRecords, SchedulerCallbacks, StoreAccess
-from sandladder.agents.constants import OUTCOME_LOST
 from sandladder.config import AgentSettings
 from sandladder.membership import ControllerLease
-from sandladder.model import EndedAttempt
 
 _PASSES_PER_HEARTBEAT_INTERVAL = 6
 # Each pass reconciles one partition of the agents.
 _PARTITIONS = 6
 # An agent without a heartbeat for this many lease durations is removed.
 _REMOVAL_AFTER_LEASES = 4
-# Recorded state of an instance that the cloud has terminated.
-_INSTANCE_TERMINATED = "gone"
 
 
 class AgentExpiry:
@@ -35,7 +32,9 @@
         self._interval_s = workers.report_s / _PASSES_PER_HEARTBEAT_INTERVAL
         self._lease_s = workers.lease_s
         self._reconciler = agents.reconciler
-        self._lease_expiry = agents.lease_expiry
+        self._lost_attempts = LostAttempts(
+            store.cache, scheduler.cluster, agents.lease_expiry, workers.lease_s
+        )
         self._store = store
         self._controller_lease = controller_lease
         self._scheduler = scheduler
@@ -68,7 +67,7 @@
         now = self._scheduler.advance_time()
         self._redirect.update_agent_count(now)
         self._reconcile_partition(partition)
-        self._scheduler.record_ended_attempts(self._lost_attempts(now))
+        self._scheduler.record_ended_attempts(self._lost_attempts.find(now))
         if partition == 0:
             self._remove_silent_agents(now)
         self._scheduler.commit_due_ends()
@@ -80,7 +79,7 @@
         cache = self._store.cache
         for number, agent in enumerate(list(self._reconciler.agents.values())):
             if number % _PARTITIONS == partition:
-                self._scheduler.record_ended_attempts(self._reconciler.proved_ends(agent, cache))
+                self._scheduler.record_ended_attempts(reported_ends(agent, cache))
 
     def _late_start_possible(self) -> bool:
         """Return whether an agent may receive an unanswered start under the current token."""
@@ -106,32 +105,3 @@
         avoided_machines = self._scheduler.avoided_machines
         for job_id in avoided_machines.keys() - self._store.cache.jobs.keys():
             del avoided_machines[job_id]
-
-    def _lost_attempts(self, now: float) -> list[EndedAttempt]:
-        """Return the attempts whose machine was terminated or whose agent's lease has expired."""
-        cache = self._store.cache
-        self._lease_expiry.observe_agent_epochs(cache.agent_epochs, now)
-        lost = []
-        for machine in cache.agent_epochs:
-            ended_epochs = self._ended_epochs(machine, now)
-            if not ended_epochs:
-                continue
-            lost += [
-                EndedAttempt(job.id, task, attempt, OUTCOME_LOST)
-                for job, task, attempt in cache.attempts_on(machine)
-                if attempt.agent_epoch in ended_epochs
-            ]
-        return lost
-
-    def _ended_epochs(self, machine: str, now: float) -> set[int]:
-        """Return which agent epochs with committed starts on a machine have certainly ended."""
-        cache, cluster = self._store.cache, self._scheduler.cluster
-        epochs = cache.agent_epochs[machine]
-        instance = cache.instances.get(machine)
-        if instance is not None and instance.state == _INSTANCE_TERMINATED:
-            return set(epochs)
-        observation = cluster.observation(machine)
-        if observation is not None and cluster.now - observation.at < self._lease_s:
-            # An agent that starts a new epoch has ended all tasks of earlier epochs.
-            return {epoch for epoch in epochs if epoch < observation.status.agent_epoch}
-        return {epoch for epoch in epochs if self._lease_expiry.has_expired(machine, epoch, now)}
--- a/src/sandladder/agents/agent_service.py
+++ b/src/sandladder/agents/agent_service.py
@@ -66,6 +66,11 @@
         """The number of agents that report to this controller."""
         return self._redirect.agent_count
 
+    @property
+    def contradicted_ends(self) -> int:
+        """The number of attempts that ran although the records held them as ended."""
+        return self._sender.contradictions.count
+
     async def handle_heartbeat(self, request: Request) -> Response:
         """Answer an agent's heartbeat; see `HeartbeatEndpoint.handle`."""
         return await self._endpoint.handle(request)
--- a/src/sandladder/agents/command_sender.py
+++ b/src/sandladder/agents/command_sender.py
@@ -10,8 +10,14 @@
 from sandladder import clock
 from sandladder.agents.agent_clients import AgentClients
 from sandladder.agents.agent_session import AgentSession, AttemptKey
+from sandladder.agents.attempt_ends import never_started
 from sandladder.agents.collaborators import AgentRecords, SchedulerCallbacks
 from sandladder.agents.constants import FORGET, START
+from sandladder.agents.end_contradictions import (
+    EndContradictions,
+    UncommittedStops,
+    uncommitted_stops,
+)
 from sandladder.agents.heartbeat_intake import HeartbeatIntake
 from sandladder.concurrency import BackgroundTasks
 from sandladder.membership import ControllerLease
@@ -30,6 +36,7 @@
 
     token: int
     commands: list[Command]
+    uncommitted_stops: UncommittedStops
 
     @property
     def has_start(self) -> bool:
@@ -69,6 +76,7 @@
         self._controller_lease = controller_lease
         self._scheduler = scheduler
         self._intake = intake
+        self.contradictions = EndContradictions(cache)
 
     def send_commands(self, agent: AgentSession) -> None:
         """Send an agent its pending commands, if any, in the background."""
@@ -111,7 +119,11 @@
         commands = self._reconciler.commands(agent, self._cache)
         if not commands or not self._controller_lease.alive():
             return False
-        batch = _CommandBatch(self._reconciler.fencing_token, commands)
+        batch = _CommandBatch(
+            self._reconciler.fencing_token,
+            commands,
+            uncommitted_stops(agent, self._cache, commands),
+        )
         if batch.has_start:
             known_until = self._renewal_guard.cancellations_known_until()
             agent.late_start_cancellations_known_until = min(
@@ -162,8 +174,9 @@
             if heartbeat.fencing_token > batch.token:
                 self._reconciler.revoke_token(machine)
             return False
+        self.contradictions.check(batch.uncommitted_stops, heartbeat)
         self._scheduler.record_ended_attempts(
-            self._reconciler.proved_never_started(agent, self._cache, batch.commands, batch.token)
+            never_started(agent, self._cache, batch.commands, batch.token)
         )
         # Commands of this batch are not repeated before the next heartbeat.
         remaining = self._reconciler.commands(agent, self._cache)
--- a/src/sandladder/agents/heartbeat_intake.py
+++ b/src/sandladder/agents/heartbeat_intake.py
@@ -5,6 +5,7 @@
 import anyio
 
 from sandladder.agents.agent_session import AgentSession
+from sandladder.agents.attempt_ends import reported_ends
 from sandladder.agents.collaborators import SchedulerCallbacks, StoreAccess
 from sandladder.agents.reconciler import Reconciler
 from sandladder.concurrency import BackgroundTasks
@@ -54,7 +55,7 @@
         self._scheduler.cluster.record_heartbeat(agent)
         if agent.accepts_token and not agent.synced and self._background.running:
             self._background.start_soon(self._synchronize, agent, agent.acceptance_count)
-        ended = self._reconciler.proved_ends(agent, self._store.cache)
+        ended = reported_ends(agent, self._store.cache)
         self._scheduler.record_ended_attempts(ended)
         return agent
 
--- a/src/sandladder/agents/lease_expiry.py
+++ b/src/sandladder/agents/lease_expiry.py
@@ -27,6 +27,22 @@
     received_at: float
 
 
+class _AnswerBound(NamedTuple):
+    """Bounds of the interval in which one controller certainly gave an agent no answer."""
+
+    source: str
+    evidence: str
+    last_answer_at: float  # upper bound
+    complete_until: float  # no further answer was given until this time
+
+    def describe(self, now: float) -> str:
+        """Return the bounds as a text, with ages in seconds."""
+        text = f"{self.source}: {self.evidence}, at most {now - self.last_answer_at:.1f} s ago"
+        if self.complete_until < math.inf:
+            text += f", known until {now - self.complete_until:.1f} s ago"
+        return text
+
+
 class _Observation(NamedTuple):
     """An inventory, and bounds of the time when it was made."""
 
@@ -34,11 +50,12 @@
     received_at: float
     made_after: float  # lower bound; answers before this time are listed
 
-    def last_answer_at(self, machine: str, max_listed_age_s: float) -> float:
-        """Return an upper bound of the time of the writer's last answer to the agent."""
+    def bound(self, node: str, machine: str, max_listed_age_s: float) -> _AnswerBound:
+        """Return the bounds of the writer's answers to an agent."""
         status = self.inventory.machines.get(machine)
         silent_s = status.age_s if status else min(self.inventory.up_s, max_listed_age_s)
-        return self.received_at - silent_s
+        evidence = "listed" if status else "not listed"
+        return _AnswerBound(node, evidence, self.received_at - silent_s, self.made_after)
 
 
 class _StoreRead(NamedTuple):
@@ -180,28 +197,46 @@
 
     def has_expired(self, machine: str, agent_epoch: int, now: float) -> bool:
         """Return whether all tasks that a machine's agent ran in an epoch have certainly ended."""
+        bounds = self._bounds(machine, agent_epoch, now)
+        if bounds is None:
+            return False
+        last_answer_at = max(bound.last_answer_at for bound in bounds)
+        complete_until = min(bound.complete_until for bound in bounds)
+        return complete_until - last_answer_at >= self._required_gap_s
+
+    def explain(self, machine: str, agent_epoch: int, now: float) -> str:
+        """Return the evidence about an epoch as a text for the log."""
+        bounds = self._bounds(machine, agent_epoch, now)
+        if bounds is None:
+            return "a controller may have answered at any time"
+        return "; ".join(bound.describe(now) for bound in bounds)
+
+    def _bounds(self, machine: str, agent_epoch: int, now: float) -> list[_AnswerBound] | None:
+        """Return the bounds of all controllers' answers, or None if one may answer at any time."""
         # Another process with this node's name may have answered agents, so the answers recorded
         # in this process may be incomplete.
         if self._name_conflict:
-            return False
-        last_answer_at = self._answered_at.get(
+            return None
+        own_answer_at = self._answered_at.get(
             machine, max(self._started_at, now - self._max_listed_age_s)
         )
         # An agent that started after an inventory was made is running, but is missing from the
         # inventory, so the interval starts when the epoch was first known.  Otherwise a task of a
         # new machine could be started twice.
-        last_answer_at = max(
-            last_answer_at, self._epoch_known_since.get((machine, agent_epoch), now)
-        )
-        complete_until = min(now, self._last_read_at)
+        known_since = self._epoch_known_since.get((machine, agent_epoch), now)
+        bounds = [
+            _AnswerBound("epoch", "first known", known_since, math.inf),
+            _AnswerBound(
+                self._node, "this controller", own_answer_at, min(now, self._last_read_at)
+            ),
+        ]
         for name in self._peers:
             observation = self._observations.get(name)
             if observation is not None:
-                peer_answer_at = observation.last_answer_at(machine, self._max_listed_age_s)
-                last_answer_at = max(last_answer_at, peer_answer_at)
-                complete_until = min(complete_until, observation.made_after)
+                bounds.append(observation.bound(name, machine, self._max_listed_age_s))
             elif name in self._absent_since:
-                last_answer_at = max(last_answer_at, self._absent_since[name])
+                absent_since = self._absent_since[name]
+                bounds.append(_AnswerBound(name, "no inventory", absent_since, math.inf))
             else:
-                return False  # the controller may have answered at any time
-        return complete_until - last_answer_at >= self._required_gap_s
+                return None
+        return bounds
--- a/src/sandladder/agents/reconciler.py
+++ b/src/sandladder/agents/reconciler.py
@@ -1,7 +1,7 @@
 """Reconciliation of agents with the records.
 
 Committed starts define the desired tasks on a machine, and its agent's heartbeat reports the actual
-ones.  The difference yields commands and proved ends.  Performs no I/O and reads no clock.
+ones.  The difference yields commands.  Performs no I/O and reads no clock.
 """
 
 from typing import NamedTuple
@@ -9,15 +9,12 @@
 from sandladder.agents.agent_session import AgentSession, AttemptKey
 from sandladder.agents.constants import (
     FORGET,
-    OUTCOME_CHECKPOINTED,
-    OUTCOME_LOST,
-    OUTCOME_NEVER_STARTED,
     START,
     STOP,
     TASK_EXITED,
     TASK_SAVING,
 )
-from sandladder.model import AgentHeartbeat, Attempt, Command, EndedAttempt, Job
+from sandladder.model import AgentHeartbeat, Attempt, Command, Job
 from sandladder.state import JOB_PREFIX, StateCache
 
 
@@ -29,7 +26,7 @@
 
 
 class Reconciler:
-    """Derives commands and proved ends from heartbeats, under the current fencing token."""
+    """Derives commands from heartbeats, under the current fencing token."""
 
     def __init__(self) -> None:
         self.fencing_token = 0  # 0 before this controller acquires one
@@ -121,7 +118,7 @@
             committed.add(key)
             if JOB_PREFIX + job.id in cache.unreadable:
                 continue  # the desired state of the job is unknown
-            command = _command_for(key, agent, _stop_grace_s(job, attempt, cache))
+            command = _command_for(key, agent, stop_grace_s(job, attempt, cache))
             if command is not None:
                 (starts if command.operation == START else stops).append(command)
         agent.seen_attempts &= committed | agent.reported_tasks.keys()
@@ -145,47 +142,6 @@
                 forgets.append(Command(FORGET, *key))
         return forgets, stops
 
-    def proved_ends(self, agent: AgentSession, cache: StateCache) -> list[EndedAttempt]:
-        """Return the attempts whose end is proved by the agent's latest heartbeat."""
-        ended = []
-        for job, task, attempt in cache.attempts_on(agent.heartbeat.machine):
-            if attempt.agent_epoch < agent.agent_epoch:
-                ended.append(EndedAttempt(job.id, task, attempt, OUTCOME_LOST))
-            elif attempt.agent_epoch == agent.agent_epoch:
-                reported = agent.reported_tasks.get((job.id, task, attempt.attempt))
-                if reported is not None and reported.state == TASK_EXITED:
-                    outcome = OUTCOME_CHECKPOINTED if reported.saved else reported.cause
-                    ended.append(EndedAttempt(job.id, task, attempt, outcome))
-        return ended
-
-    def proved_never_started(
-        self, agent: AgentSession, cache: StateCache, sent: list[Command], token: int
-    ) -> list[EndedAttempt]:
-        """Return the stopped attempts that are absent from the response to sent commands.
-
-        The response proves that the agent accepted `token` after the stop was committed.  Later
-        controllers read the stop, commands of earlier controllers are rejected, and no start of
-        this controller can still be delivered.
-        """
-        if agent.late_start_possible or agent.heartbeat.fencing_token != token:
-            return []
-        stopped = {
-            (command.job, command.task, command.attempt)
-            for command in sent
-            if command.operation == STOP
-        }
-        never_started = []
-        for job, task, attempt in cache.attempts_on(agent.heartbeat.machine):
-            key = (job.id, task, attempt.attempt)
-            if (
-                key in stopped
-                and key not in agent.reported_tasks
-                and attempt.agent_epoch == agent.agent_epoch
-                and _stop_grace_s(job, attempt, cache) is not None
-            ):
-                never_started.append(EndedAttempt(job.id, task, attempt, OUTCOME_NEVER_STARTED))
-        return never_started
-
 
 def _command_for(key: AttemptKey, agent: AgentSession, grace_s: float | None) -> Command | None:
     """Return the command for a committed attempt, or None.
@@ -206,7 +162,7 @@
     return Command(STOP, *key, grace_s=grace_s)
 
 
-def _stop_grace_s(job: Job, attempt: Attempt, cache: StateCache) -> float | None:
+def stop_grace_s(job: Job, attempt: Attempt, cache: StateCache) -> float | None:
     """Return the grace period for stopping an attempt, in seconds, or None if it should run."""
     # Tasks of a cancelled job need no checkpoint.
     return 0.0 if cache.is_cancelled(job.id) else attempt.stop_grace_s
--- a/src/sandladder/controller/services.py
+++ b/src/sandladder/controller/services.py
@@ -434,7 +434,7 @@
             wall_clock=self.wall_clock,
         )
         self.statistics = StatisticsLog(
-            self.gate, self.committer, _STATISTICS_LEASES * self.lease_s
+            self.gate, self.committer, self.agent_service, _STATISTICS_LEASES * self.lease_s
         )
 
     # Callbacks into services of higher packages
--- a/src/sandladder/jobs/end_announcer.py
+++ b/src/sandladder/jobs/end_announcer.py
@@ -114,11 +114,14 @@
         """Release the capacity of an attempt whose end was proved for the first time."""
         if ended.outcome in (AttemptOutcome.LOST, AttemptOutcome.NEVER_RAN):
             log.info(
-                "task %s/%d ended on machine %s: %s",
+                "task %s/%d ended on machine %s: %s (epoch %d, attempt %d: %s)",
                 ended.job,
                 ended.task,
                 ended.attempt.machine,
                 ended.outcome,
+                ended.attempt.agent_epoch,
+                ended.attempt.attempt,
+                ended.evidence,
             )
         self._cluster_view.note_ended(ended)
         self._plan_due.set()
--- a/src/sandladder/membership/controller_lease.py
+++ b/src/sandladder/membership/controller_lease.py
@@ -250,6 +250,9 @@
         change = PendingChange("fencing token", PRIORITY_LEASE, 2, apply, leased=True)
         await self._committer.add(change).wait()
         self._on_fencing_token(acquired)
+        log.info(
+            "acquired fencing token %d, read up to revision %d", acquired, self._cache.revision
+        )
 
     async def _write_inventory(self, lease: int) -> None:
         def apply(transaction: Transaction) -> bool:
--- a/src/sandladder/model/__init__.py
+++ b/src/sandladder/model/__init__.py
@@ -10,7 +10,7 @@
 
 from sandladder.model.agents import AgentHeartbeat, ClockReading, Command, TaskStatus
 from sandladder.model.attempt_outcomes import FAILURES, REFUSALS, AttemptKey, AttemptOutcome
-from sandladder.model.attempts import Attempt, EndedAttempt, Placement
+from sandladder.model.attempts import Attempt, EndedAttempt, EndEvidence, Placement
 from sandladder.model.dependencies import DependencyIndex, DependencyOutcome
 from sandladder.model.jobs import (
     ARRAY,
@@ -87,6 +87,7 @@
     "Command",
     "DependencyIndex",
     "DependencyOutcome",
+    "EndEvidence",
     "EndedAttempt",
     "FinishedJob",
     "Headroom",
--- a/src/sandladder/model/attempts.py
+++ b/src/sandladder/model/attempts.py
@@ -1,8 +1,19 @@
 """Attempts to run a task, from placement to proved end."""
 
+import enum
 from typing import NamedTuple
 
 
+class EndEvidence(enum.StrEnum):
+    """What proves that an attempt has ended."""
+
+    EXIT_REPORTED = "its exit was reported"
+    LATER_EPOCH = "its agent is in a later epoch"
+    INSTANCE_GONE = "its machine was returned, has failed or is gone"
+    LEASE_EXPIRED = "its agent's lease has expired"
+    NEVER_STARTED = "it was stopped before it started"
+
+
 class Placement(NamedTuple):
     """A task assigned to a machine and not started yet.
 
@@ -45,9 +56,11 @@
         task: the task's number within the job.
         attempt: the attempt.
         outcome: how the attempt ended.
+        evidence: what proves the end; None if a peer has proved it.
     """
 
     job: str
     task: int
     attempt: Attempt
     outcome: str
+    evidence: EndEvidence | None = None
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -185,6 +185,8 @@
             cluster.start(tasks)
             try:
                 await main()
+                for node in cluster.nodes.values():
+                    cluster.controllers.check_ends(node)
             finally:
                 # A frozen controller could not handle its cancellation.
                 for processor in cluster.processors.values():
--- a/tests/simulation/controllers.py
+++ b/tests/simulation/controllers.py
@@ -184,12 +184,19 @@
         shared.processors[name].thaw()
         shared.processors[name].step_s = 0.0
         self._scopes.pop(name).cancel()
-        shared.nodes.pop(name, None)
+        self.check_ends(shared.nodes.pop(name, None))
         shared.network.handlers.pop(name, None)
         # The peers detect immediately that the crashed controller refuses connections.
         for node in shared.nodes.values():
             node.peers.connections[name].probe()
 
+    def check_ends(self, node: Any) -> None:
+        """Record a violation if a controller saw attempts run after their end was recorded."""
+        # The version in production does not count them.
+        count = getattr(getattr(node, "agent_service", None), "contradicted_ends", 0)
+        if count:
+            self._shared.record_violation("ended_running", f"{count} attempts at {node.node}")
+
     def end_twin(self, index: int) -> None:
         """Stop the second process that `boot` started for a controller."""
         self._scopes.pop(f"node-{index} too").cancel()
--- a/tests/test_combined_faults.py
+++ b/tests/test_combined_faults.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from sandladder.agents import reported_ends
 from simulation import LEASE_S, ZONES, SimulatedCluster, now, run
 from simulation.fault_scenarios import (
     CANCEL_S,
@@ -26,10 +27,7 @@
         await anyio.sleep(cluster.rng.uniform(0.3, 1.5))
         node = cluster.nodes.get(f"node-{index}")
         if node is not None:
-            ends = sum(
-                len(node.reconciler.proved_ends(d, node.cache))
-                for d in node.reconciler.agents.values()
-            )
+            ends = sum(len(reported_ends(d, node.cache)) for d in node.reconciler.agents.values())
             cluster.observed["end proved, not committed"] += ends
         cluster.store.refused_sources = set()
         await restart(cluster, index, cluster.rng.uniform(0.3, 4.0))
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -1,9 +1,17 @@
 """Tests of the reconciliation of agents: commands and proved ends derived from heartbeats."""
 
 from helpers import LIMITS, accept, commit
-from sandladder.agents import LeaseRenewalGuard, Reconciler
+from sandladder.agents import LeaseRenewalGuard, Reconciler, reported_ends
 from sandladder.jobs import start
-from sandladder.model import AgentHeartbeat, Attempt, Command, EndedAttempt, Placement, TaskStatus
+from sandladder.model import (
+    AgentHeartbeat,
+    Attempt,
+    Command,
+    EndedAttempt,
+    EndEvidence,
+    Placement,
+    TaskStatus,
+)
 from sandladder.state import StateCache, Transaction
 from simulation import settings
 
@@ -83,7 +91,8 @@
     reconciler.adopt_fencing_token(1)
     agent = reconciler.receive_heartbeat(heartbeat(9, 1, agent_epoch=2), 0.0, direct=False).agent
     attempt = Attempt("vm-1", "north", 1, 1)
-    assert reconciler.proved_ends(agent, cache) == [EndedAttempt("job-000001", 0, attempt, "lost")]
+    evidence = EndEvidence.LATER_EPOCH
+    assert reported_ends(agent, cache) == [EndedAttempt("job-000001", 0, attempt, "lost", evidence)]
 
 
 def test_any_response_stops_the_tasks_of_a_job_that_a_peer_announced_as_cancelled() -> None:
--- a/tools/capacity/step_times.py
+++ b/tools/capacity/step_times.py
@@ -11,6 +11,7 @@
 from capacity.message_sizes import heartbeat_body, http_exchange, request_bytes
 from capacity.rows import Row
 from capacity.stopwatch import Stopwatch
+from sandladder.agents import reported_ends
 from sandladder.autoscaling import ScalingPolicy
 from sandladder.config import TeamLimits
 from sandladder.jobs import end, start
@@ -77,7 +78,7 @@
         agent = state.reconciler.receive_heartbeat(heartbeat, 1.0, direct=False).agent
         state.cluster_view.record_heartbeat(agent)
         agent.synced = True
-        state.reconciler.proved_ends(agent, state.cache)
+        reported_ends(agent, state.cache)
         state.reconciler.response_commands(agent, state.cache)
 
     return stopwatch.steps(step, 100)
