--- a/src/sandladder/agents/attempt_ends.py
+++ b/src/sandladder/agents/attempt_ends.py
@@ -18,14 +18,11 @@
 )
 from sandladder.agents.lease_expiry import LeaseExpiryProof
 from sandladder.agents.reconciler import stop_grace_s
-from sandladder.model import Command, EndedAttempt, EndEvidence
+from sandladder.model import GONE, Command, EndedAttempt, EndEvidence
 from sandladder.state import StateCache
 
 log = logging.getLogger(__name__)
 
-# Recorded state of an instance that the cloud has terminated.
-_INSTANCE_TERMINATED = "gone"
-
 
 def reported_ends(agent: AgentSession, cache: StateCache) -> list[EndedAttempt]:
     """Return the attempts whose end is proved by an agent's latest heartbeat."""
@@ -130,7 +127,7 @@
         """Return the agent epochs with committed starts on a machine that have certainly ended."""
         epochs = self._cache.agent_epochs[machine]
         instance = self._cache.instances.get(machine)
-        if instance is not None and instance.state == _INSTANCE_TERMINATED:
+        if instance is not None and instance.state == GONE:
             return dict.fromkeys(epochs, EndEvidence.INSTANCE_GONE)
         observation = self._cluster.observation(machine)
         if observation is not None and self._cluster.now - observation.at < self._lease_s:
--- a/src/sandladder/autoscaling/instance_drainer.py
+++ b/src/sandladder/autoscaling/instance_drainer.py
@@ -10,10 +10,9 @@
 from sandladder.autoscaling.controller_status import ControllerStatus
 from sandladder.autoscaling.instance_reconciler import InstanceReconciler
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
-from sandladder.autoscaling.instance_states import ACTIVE, DRAINING, GONE
 from sandladder.autoscaling.scaling_policy import ScalingPolicy
 from sandladder.config import parse_address
-from sandladder.model import Machine
+from sandladder.model import ACTIVE, DRAINING, GONE, Machine
 from sandladder.protocol import agent_messages
 from sandladder.scheduling import ClusterView
 from sandladder.transport import HttpConnector, HttpError
--- a/src/sandladder/autoscaling/instance_launcher.py
+++ b/src/sandladder/autoscaling/instance_launcher.py
@@ -7,10 +7,9 @@
 from sandladder.autoscaling.cloud_client import CloudClient, CloudError, NoCapacityError
 from sandladder.autoscaling.controller_status import ControllerStatus
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
-from sandladder.autoscaling.instance_states import ACTIVE
 from sandladder.autoscaling.offers import ScaleOutRequest
 from sandladder.autoscaling.scaling_policy import ScalingPolicy
-from sandladder.model import Machine
+from sandladder.model import ACTIVE, Machine
 from sandladder.protocol import MalformedMessageError
 from sandladder.state import PreconditionFailedError
 
--- a/src/sandladder/autoscaling/instance_reconciler.py
+++ b/src/sandladder/autoscaling/instance_reconciler.py
@@ -5,9 +5,9 @@
 
 from sandladder.autoscaling.cloud_client import MAX_INSTANCES_PER_RETURN, CloudClient, MachineList
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
-from sandladder.autoscaling.instance_states import ACTIVE, DRAINING, GONE, LISTED_FAILED
+from sandladder.autoscaling.instance_states import LISTED_FAILED
 from sandladder.autoscaling.unresponsive import boot_is_overdue
-from sandladder.model import ListedMachine, Machine
+from sandladder.model import ACTIVE, DRAINING, GONE, ListedMachine, Machine
 from sandladder.state import StateCache
 
 log = logging.getLogger(__name__)
--- a/src/sandladder/autoscaling/instance_records.py
+++ b/src/sandladder/autoscaling/instance_records.py
@@ -3,8 +3,7 @@
 from collections.abc import Mapping
 
 from sandladder import clock
-from sandladder.autoscaling.instance_states import GONE
-from sandladder.model import Machine
+from sandladder.model import GONE, Machine
 from sandladder.state import (
     INSTANCE_RECORD_BYTES,
     PRIORITY_REQUEST,
--- a/src/sandladder/autoscaling/provisioned_capacity.py
+++ b/src/sandladder/autoscaling/provisioned_capacity.py
@@ -3,8 +3,7 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from sandladder.autoscaling.instance_states import ACTIVE
-from sandladder.model import Machine
+from sandladder.model import ACTIVE, Machine
 from sandladder.scheduling import Bin, ClusterView, FreeCapacity
 
 # An instance that has been booting for longer than this multiple of its type's boot time does not
--- a/src/sandladder/autoscaling/reactivation.py
+++ b/src/sandladder/autoscaling/reactivation.py
@@ -6,9 +6,8 @@
 
 from typing import NamedTuple
 
-from sandladder.autoscaling.instance_states import DRAINING
 from sandladder.autoscaling.provisioned_capacity import free_bin
-from sandladder.model import Job
+from sandladder.model import DRAINING, Job
 from sandladder.scheduling import Bin, ClusterView, Shortage, pack
 
 
--- a/src/sandladder/autoscaling/scale_in.py
+++ b/src/sandladder/autoscaling/scale_in.py
@@ -5,10 +5,9 @@
 from typing import NamedTuple
 
 from sandladder.autoscaling.demand import DemandHistory
-from sandladder.autoscaling.instance_states import DRAINING
 from sandladder.autoscaling.offers import hourly_price, lowest_task_price
 from sandladder.autoscaling.provisioned_capacity import free_bin
-from sandladder.model import SERVICE, MachineType
+from sandladder.model import DRAINING, SERVICE, MachineType
 from sandladder.scheduling import UNHEALTHY_FAILURES, Bin, ClusterView, FreeCapacity
 
 # A machine is underutilized if at most this share of its cores is used and its price is at least
--- a/src/sandladder/autoscaling/scaling_policy.py
+++ b/src/sandladder/autoscaling/scaling_policy.py
@@ -13,7 +13,6 @@
     with_running_work,
 )
 from sandladder.autoscaling.headroom import reserve_headroom
-from sandladder.autoscaling.instance_states import DRAINING, GONE
 from sandladder.autoscaling.job_history import JobHistory
 from sandladder.autoscaling.offers import RefusedOffers, ScaleOutRequest
 from sandladder.autoscaling.provisioned_capacity import (
@@ -35,7 +34,7 @@
 from sandladder.autoscaling.unresponsive import unresponsive_instances
 from sandladder.autoscaling.utilization import describe_utilization
 from sandladder.autoscaling.waiting_work import displaced_replica_shortages, waiting_work
-from sandladder.model import Machine
+from sandladder.model import DRAINING, GONE, Machine
 from sandladder.scheduling import ClusterView, Shortage
 
 log = logging.getLogger(__name__)
--- a/src/sandladder/autoscaling/unresponsive.py
+++ b/src/sandladder/autoscaling/unresponsive.py
@@ -3,9 +3,9 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from sandladder.autoscaling.instance_states import GONE, LISTED_BOOTING
+from sandladder.autoscaling.instance_states import LISTED_BOOTING
 from sandladder.autoscaling.provisioned_capacity import BootedMachines
-from sandladder.model import ListedMachine, MachineType
+from sandladder.model import GONE, ListedMachine, MachineType
 from sandladder.scheduling import ClusterView
 
 # A larger share of unresponsive machines in a zone indicates a network partition.
--- a/src/sandladder/autoscaling/utilization.py
+++ b/src/sandladder/autoscaling/utilization.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-from sandladder.autoscaling.instance_states import ACTIVE
 from sandladder.autoscaling.provisioned_capacity import BootedMachines
+from sandladder.model import ACTIVE
 from sandladder.scheduling import ClusterView
 
 
--- a/src/sandladder/autoscaling/waiting_work.py
+++ b/src/sandladder/autoscaling/waiting_work.py
@@ -4,10 +4,9 @@
 from typing import NamedTuple
 
 from sandladder.autoscaling.demand import CoreDemand
-from sandladder.autoscaling.instance_states import DRAINING
 from sandladder.autoscaling.scaling_inputs import ScalingInputs
 from sandladder.autoscaling.zone_choice import single_zone_quota
-from sandladder.model import HIGH, PRODUCTION, SERVICE, Job, TeamUsage
+from sandladder.model import DRAINING, HIGH, PRODUCTION, SERVICE, Job, TeamUsage
 from sandladder.model import headroom as quota_headroom
 from sandladder.scheduling import Backlog, Shortage, ZoneQuota, pack, placement_requirements
 
--- a/src/sandladder/autoscaling/zone_choice.py
+++ b/src/sandladder/autoscaling/zone_choice.py
@@ -2,10 +2,9 @@
 
 from collections import Counter
 
-from sandladder.autoscaling.instance_states import ACTIVE
 from sandladder.autoscaling.offers import Offer, fitting_types
 from sandladder.autoscaling.scaling_inputs import ScalingInputs
-from sandladder.model import JobSpec, Machine
+from sandladder.model import ACTIVE, JobSpec, Machine
 from sandladder.scheduling import ZoneQuota, machine_allowed
 
 
--- a/src/sandladder/model/machines.py
+++ b/src/sandladder/model/machines.py
@@ -1,13 +1,15 @@
 """Machine types, machines and their status."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import msgspec
 
 from sandladder.model.jobs import JobSpec
 
-# States of a machine in its instance record.
-ACTIVE, DRAINING, GONE = "rented", "draining", "gone"
+# States of a machine in its instance record; the values are stored and must not change.
+ACTIVE: Final = "rented"  # booting or running; tasks may be placed on it
+DRAINING: Final = "draining"  # receives no more tasks and is returned when it is empty
+GONE: Final = "gone"  # was returned, failed, or is missing from the cloud's list
 
 
 class MachineType(msgspec.Struct, frozen=True):
--- a/src/sandladder/scheduling/free_capacity_index.py
+++ b/src/sandladder/scheduling/free_capacity_index.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Container
 
-from sandladder.model import EPSILON, SERVICE, EndedAttempt, MachineType
+from sandladder.model import DRAINING, EPSILON, GONE, SERVICE, EndedAttempt, MachineType
 from sandladder.scheduling.free_capacity import FreeCapacity
 from sandladder.scheduling.gate import Gate
 from sandladder.scheduling.machine_observations import MachineObservation, MachineObservations
@@ -134,7 +134,7 @@
     def _usable(self, machine: str, observation: MachineObservation) -> tuple[bool, float]:
         """Return whether a machine can be given work, and the time until which that is valid."""
         instance = self._cache.instances.get(machine)
-        if instance is not None and instance.state in ("draining", "gone"):
+        if instance is not None and instance.state in (DRAINING, GONE):
             return False, math.inf
         return self._accepts_work(machine, observation)
 
--- a/src/sandladder/scheduling/machine_observations.py
+++ b/src/sandladder/scheduling/machine_observations.py
@@ -6,7 +6,7 @@
 
 from sandladder.agents import AgentSession
 from sandladder.config import Settings
-from sandladder.model import MachineStatus
+from sandladder.model import DRAINING, MachineStatus
 from sandladder.scheduling.view_time import ViewTime
 from sandladder.state import StateCache
 
@@ -100,7 +100,7 @@
     def leaving_machines(self) -> list[str]:
         """Return the observed machines that are about to leave."""
         instances = self._cache.instances
-        draining = {name for name, record in instances.items() if record.state == "draining"}
+        draining = {name for name, record in instances.items() if record.state == DRAINING}
         return [
             machine
             for machine, observation in self._latest.items()
@@ -110,7 +110,7 @@
     def departure(self, machine: str) -> MachineDeparture | None:
         """Return why a machine is about to leave, or None if it stays."""
         instance = self._cache.instances.get(machine)
-        if instance is not None and instance.state == "draining":
+        if instance is not None and instance.state == DRAINING:
             return MachineDeparture.DRAINING
         observation = self._latest.get(machine)
         if observation is not None and observation.status.notice_s is not None:
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -14,11 +14,10 @@
 from sandladder.autoscaling.demand import CoreDemand, DemandHistory
 from sandladder.autoscaling.instance_launcher import InstanceLauncher
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
-from sandladder.autoscaling.instance_states import ACTIVE, DRAINING, GONE
 from sandladder.autoscaling.offers import Offer, RefusedOffers
 from sandladder.autoscaling.provisioned_capacity import BootedMachines
 from sandladder.autoscaling.unresponsive import boot_is_overdue, unresponsive_instances
-from sandladder.model import AgentHeartbeat, ListedMachine, Machine
+from sandladder.model import ACTIVE, DRAINING, GONE, AgentHeartbeat, ListedMachine, Machine
 from sandladder.scheduling import ClusterView
 from sandladder.state import (
     AUTOSCALER_KEY,
--- a/tests/test_autoscaling.py
+++ b/tests/test_autoscaling.py
@@ -16,10 +16,9 @@
     scale_out,
     waiting_work,
 )
-from sandladder.autoscaling.instance_states import ACTIVE
 from sandladder.config import TeamLimits
 from sandladder.jobs import submit
-from sandladder.model import AgentHeartbeat, Machine, MachineType
+from sandladder.model import ACTIVE, AgentHeartbeat, Machine, MachineType
 from sandladder.scheduling import ClusterView, bin_packing
 from sandladder.state import Transaction
 from sandladder.transport import Response
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -9,8 +9,7 @@
 
 from sandladder.autoscaling import CloudClient, CloudError
 from sandladder.autoscaling.instance_reconciler import InstanceReconciler
-from sandladder.autoscaling.instance_states import ACTIVE, GONE
-from sandladder.model import Machine
+from sandladder.model import ACTIVE, GONE, Machine
 from sandladder.protocol import MalformedMessageError
 from sandladder.state import StateCache
 from sandladder.transport import HttpError, Response
--- a/tests/test_reactivation.py
+++ b/tests/test_reactivation.py
@@ -10,8 +10,7 @@
 from sandladder.autoscaling import ScalingPolicy
 from sandladder.autoscaling.instance_drainer import InstanceDrainer
 from sandladder.autoscaling.instance_records import InstanceRecordWriter
-from sandladder.autoscaling.instance_states import ACTIVE, DRAINING
-from sandladder.model import AgentHeartbeat, Machine, Placement
+from sandladder.model import ACTIVE, DRAINING, AgentHeartbeat, Machine, Placement
 from sandladder.scheduling import ClusterView
 from sandladder.state import StoreLimits
 from scheduling_scenes import commit_placements
