--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -61,7 +61,7 @@
         boot_state = "starting" if worker.state == "starting" else "running"
         return {
             "id": worker.name,
-            "addr": f"{worker.name}:9000",
+            "addr": worker.addr,
             "breed": worker.kind,
             "district": worker.zone,
             "loaners": worker.spot,
@@ -129,6 +129,7 @@
         """Add a machine and return its name."""
         name = f"vm-{next(self._numbers):06d}"
         worker = Worker(self._shared, name, kind, zone, spot)
+        self._shared.network.add_host(worker)
         self.workers[name] = self._shared.machines[name] = worker
         rng = self._shared.rng
         if len(self.workers) <= self.never_booting:
--- a/tests/simulation/deployment.py
+++ b/tests/simulation/deployment.py
@@ -45,22 +45,21 @@
     return [{k: v if k == "name" else v * factor for k, v in t.items()} for t in TEAMS]  # type: ignore[operator]
 
 
-def settings(
+def platform_file(
     index: int = 0,
     count: int = 3,
     large: bool = False,
-    version: Any = THIS_VERSION,
     cancel_s: float = CANCEL_S,
     limits: list[dict[str, Any]] | None = None,
     **state: Any,
-) -> Settings:
-    """Return the settings of one of `count` controllers, as parsed by a version.
+) -> dict[str, Any]:
+    """Return the contents of the settings file of one of `count` controllers.
 
     `large` uses ten times the teams' limits, and a lower size limit for stored values.  `state`
     overrides the store's settings.
     """
     names = [f"node-{i}" for i in range(count)]
-    raw = {
+    return {
         "node_name": names[index],
         "location": ZONES[index % 2],
         "api_addr": f"{names[index]}:80",
@@ -88,6 +87,19 @@
             "cloud": {"rps": 5.0, "list_lag_s": LIST_LAG_S},
         },
     }
+
+
+def settings(
+    index: int = 0,
+    count: int = 3,
+    large: bool = False,
+    version: Any = THIS_VERSION,
+    cancel_s: float = CANCEL_S,
+    limits: list[dict[str, Any]] | None = None,
+    **state: Any,
+) -> Settings:
+    """Return the settings in a controller's `platform_file`, as parsed by a version."""
+    raw = platform_file(index, count, large, cancel_s, limits, **state)
     module = version.settings
     parsed: Settings = module.Settings(msgspec.convert(raw, module.Platform), module.Operator())
     return parsed
--- a/tests/simulation/machines.py
+++ b/tests/simulation/machines.py
@@ -39,6 +39,7 @@
 
     def __init__(self, name: str, kind: str, zone: str, spot: bool) -> None:
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
+        self.addr = f"{name}:9000"  # where its worker accepts direct commands
         self.rented_at = now()
         self.boots_at = now()
         self.terminated_at: float | None = None
@@ -79,7 +80,7 @@
         notice_s = None if self.notice_until is None else self.notice_until - now()
         return {
             "rung": self.name,
-            "addr": f"{self.name}:9000",
+            "addr": self.addr,
             "breed": self.kind,
             "district": self.zone,
             "loaners": self.spot,
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -11,6 +11,7 @@
 
 from sandladder.transport import HttpError, Request, Response
 from simulation.event_loop import CURRENT_PROCESSOR, now
+from simulation.machines import Machine
 from simulation.tracing import TRACE
 
 CutMode = Literal["drop", "hold"]
@@ -39,6 +40,9 @@
         self.delay_s = 0.01  # maximum delay of a message, in seconds
         self._observed = observed
 
+    def add_host(self, machine: Machine) -> None:
+        """Prepare for a rented machine, which registers its handler once it is up."""
+
     def cut(self, one: str, other: str, mode: CutMode) -> None:
         """Cut two hosts off from each other."""
         self.cuts[frozenset((one, other))] = mode
--- a/tests/simulation/task_executor.py
+++ b/tests/simulation/task_executor.py
@@ -67,18 +67,24 @@
         """Advance the tasks to the current time, and check the rules."""
         if self.state != "running":
             return
-        # The lease also expires on a hanging machine.  Otherwise its tasks would still count as being
-        # on it, and their restart after a valid lease expiry proof would violate `ran_twice`.
-        if now() - self.lease_started_at > LEASE_S:
+        self.expire_lease()
+        if now() >= self.hung_until:
+            for task in list(self.tasks.values()):
+                self._advance(task)
+        self._shared.check()
+
+    def expire_lease(self) -> None:
+        """End all tasks and begin the next epoch if the lease has expired.
+
+        The lease also expires on a hanging machine.  Otherwise its tasks would still count as being
+        on it, and their restart after a valid lease expiry proof would violate `ran_twice`.
+        """
+        if self.state == "running" and now() - self.lease_started_at > LEASE_S:
             self.tasks.clear()
             self.epoch += 1
             self.lease_started_at = now()
             self._shared.expired_leases += 1
             self.changed.set()
-        if now() >= self.hung_until:
-            for task in list(self.tasks.values()):
-                self._advance(task)
-        self._shared.check()
 
     def _advance(self, task: Task) -> None:
         """Move a task to its next state, if that is due."""
--- a/tests/test_lease_expiry.py
+++ b/tests/test_lease_expiry.py
@@ -106,3 +106,13 @@
     assert not proof.has_expired("vm", 1, 30.0)
     proof.observe_inventories({"a": MachineInventory(1, 1.0, 1, {}, process=7)}, 30.0)
     assert proof.has_expired("vm", 1, 30.0)
+
+
+def test_expiry_is_not_proved_if_an_absent_peer_may_have_answered_between_two_reads() -> None:
+    """Guards against running a task twice."""
+    proof = proof_for_silent_agent(["a", "b"])
+    proof.observe_inventories({}, 1.0)
+    # Until the next read `b` may have held a lease and answered, and have lost the lease again.
+    proof.observe_inventories({}, 60.0)
+    proof.record_store_read(60.0, 90)
+    assert not proof.has_expired("vm", 1, 60.0)
--- a/tests/test_machine_list.py
+++ b/tests/test_machine_list.py
@@ -1,5 +1,6 @@
 """The cloud's list of machines, which is read page by page and may be older than an earlier one."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
@@ -11,7 +12,7 @@
 from sandladder.autoscaling.instance_reconciler import InstanceReconciler
 from sandladder.model import ACTIVE, GONE, Machine
 from sandladder.protocol import MalformedMessageError
-from sandladder.state import StateCache
+from sandladder.state import AdaptiveTokenBucket, StateCache
 from sandladder.transport import HttpError, Response
 from simulation import ZONES, SimulatedCluster, now, run
 from simulation.deployment import LIST_LAG_S
@@ -20,6 +21,8 @@
 _MACHINES, _PAGE_MACHINES = 8, 3
 _PAGE_DELAY_S = 0.7 * LIST_LAG_S
 _TIMEOUT_S = 4.0
+# The cloud's rate limit, in requests per second, and its burst.
+_CLOUD_RPS, _CLOUD_BURST = 3.0, 6.0
 
 
 class ListFixture:
@@ -127,6 +130,35 @@
     run_with_list(main)
 
 
+def test_a_list_of_nine_pages_can_be_read_at_a_cloud_that_allows_three_requests_a_second() -> None:
+    """The list of 4,000 machines."""
+
+    async def main(fixture: ListFixture) -> None:
+        fixture.cloud.page_machines = 1
+        fixture.add_machine()
+        await anyio.sleep(LIST_LAG_S)
+        tokens, refilled_at = _CLOUD_BURST, now()
+
+        def limit(after: str) -> int | None:
+            nonlocal tokens, refilled_at
+            tokens = min(_CLOUD_BURST, tokens + _CLOUD_RPS * (now() - refilled_at))
+            refilled_at = now()
+            if tokens < 1:
+                return 429
+            tokens -= 1
+            return None
+
+        fixture.client.rate_limit = AdaptiveTokenBucket(_CLOUD_RPS)
+        fixture.cloud.on_list = limit
+        for _ in range(20):
+            with contextlib.suppress(CloudError):
+                await fixture.reconcile()
+            await anyio.sleep(LIST_LAG_S)
+        assert fixture.reconciler.address(next(iter(fixture.cloud.workers))) is not None
+
+    run_with_list(main)
+
+
 def listed(name: str) -> dict[str, object]:
     """Return a well-formed item of the list."""
     kind = {"id": name, "addr": f"{name}:1", "breed": "large", "district": "north"}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -311,3 +311,10 @@
         assert len(evaluated) == 2 and committer.committed == 1
 
     anyio.run(body)
+
+
+def test_a_late_answer_to_a_commit_does_not_restore_a_record_deleted_since() -> None:
+    cache = StateCache()
+    cache.apply(9, [("s/v/0", None, 9)])
+    assert cache.apply_own_commit(7, [("s/v/0", {"k": [], "m": []})]) == {}
+    assert cache.version("s/v/0") == 0
