--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -9,7 +9,7 @@
 
 
 def test_a_small_scale_run_reports_counts_and_no_violation() -> None:
-    options = argparse.Namespace(workers=20, rate=10.0, seconds=8.0, minutes=5.0)
+    options = argparse.Namespace(workers=20, rate=10.0, seconds=8.0, minutes=5.0, faults=False)
     limits: dict[str, Any] = {"rps": 300.0, "write_rps": 20.0, "txn_ops": 12}
     cluster = ScaleCluster(1120, 3, limits=list(teams(4)), **limits)
     cluster.store.write_rps = limits["write_rps"]
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -7,7 +7,8 @@
 The workers implement leases, epochs, fencing tokens and tasks of the protocol but run nothing, and
 the store enforces a deployment's limits.  As time is virtual, the store and the protocol bound the
 starts; processor time is neither charged nor measured.  The safety rules are checked once a second
-of virtual time.  `--minutes` bounds the real time.
+of virtual time.  `--minutes` bounds the real time.  `--faults` crashes controllers, cuts links and
+ends machines during the load.
 
 Exit status: 1 if a rule was violated, 2 if the time ran out.
 """
@@ -29,6 +30,7 @@
 import anyio  # noqa: E402
 
 from simulation import ZONES, SimulatedCluster, job, now, run  # noqa: E402
+from simulation.faults import all_faults  # noqa: E402
 from simulation.workloads import wait_until_healthy  # noqa: E402
 
 # Of each cycle of jobs the first ones are urgent and small, the others are arrays.
@@ -144,6 +146,8 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(load.submit)
         tasks.start_soon(load.watch)
+        if options.faults:
+            tasks.start_soon(all_faults, cluster)
         await anyio.sleep(_WARM_UP_S)
         start_time, starts_before = now(), cluster.starts.total()
         writes_before = len(cluster.store.history)
@@ -193,6 +197,7 @@
         "--write-rps", type=float, default=20.0, help="writes per second that the store accepts"
     )
     parser.add_argument("--minutes", type=float, default=10.0, help="limit of real time")
+    parser.add_argument("--faults", action="store_true", help="inject faults during the load")
     parser.add_argument("--seed", type=int, default=1, help="seed of the simulation")
     options = parser.parse_args()
     logging.disable(logging.WARNING)
@@ -206,6 +211,7 @@
         "workers": options.workers,
         "controllers": options.controllers,
         "teams": options.teams,
+        "faults": options.faults,
         "asked for a second": options.rate,
         "state service, changes a second": limits.write_rps,
     }
