--- a/tests/test_attempt_ends.py
+++ b/tests/test_attempt_ends.py
@@ -2,6 +2,7 @@
 
 import ast
 from pathlib import Path
+from typing import Any
 
 import anyio
 import pytest
@@ -15,6 +16,7 @@
 from sandladder.state import StateCache, Transaction
 from simulation import SimulatedCluster, job, run
 from simulation.fault_scenarios import LONG_TASK_S, running_tasks, wait_until
+from simulation.faults import running_machines
 from simulation.workloads import wait_until_healthy
 
 TOKEN = 5
@@ -119,6 +121,50 @@
     assert places == {"agents/attempt_ends.py", "peers/peer_service.py"}
 
 
+MALFORMED_FIELDS: dict[str, dict[str, Any]] = {
+    "no epoch": {"shift": None},
+    "an epoch that is no number": {"shift": "9"},
+    "a negative sequence number": {"tally": -1},
+    "no token": {"seal": None},
+    "tasks that are no list": {"entries": {}},
+    "a task that is no map": {"entries": ["job-000001/0"]},
+    "a task without an attempt": {"entries": [{"entry": "job-000001/0", "standing": "exited"}]},
+    "a task without a number": {
+        "entries": [{"entry": "job-000001", "try": 1, "standing": "exited"}]
+    },
+    "a state that is no text": {"entries": [{"entry": "job-000001/0", "try": 1, "standing": 7}]},
+}
+
+
+def test_malformed_heartbeats_record_no_end_and_start_nothing() -> None:
+    """Each would otherwise be the newest heartbeat of the machine."""
+    cluster = SimulatedCluster(6)
+    statuses: dict[str, set[int]] = {}
+
+    async def main() -> None:
+        await wait_until_healthy(cluster)
+        spec = job(1, entries=4, vcpus=3.0, expect_s=LONG_TASK_S)
+        assert await cluster.submit(spec) == 201
+        await wait_until(lambda: len(running_tasks(cluster)) == 4, 60.0, 0.2)
+        await anyio.sleep(5.0)
+        record = cluster.store.items["s/j/job-000001"]
+        for description, fields in MALFORMED_FIELDS.items():
+            for machine in running_machines(cluster):
+                body = machine.heartbeat() | {"tally": machine.sequence + 1000} | fields
+                responses = [
+                    await cluster.ask("POST", "/v1/report", body, node)
+                    for node in range(cluster.count)
+                ]
+                statuses.setdefault(description, set()).update(r.status for r in responses)
+        await anyio.sleep(5.0)
+        assert cluster.store.items["s/j/job-000001"] == record
+
+    run(cluster, main)
+    assert statuses == {description: {400} for description in MALFORMED_FIELDS}
+    assert cluster.violations == []
+    assert sum(cluster.starts.values()) == 4
+
+
 def test_a_planted_wrong_end_is_found_by_the_controllers() -> None:
     cluster = SimulatedCluster(5)
 
