--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -10,7 +10,7 @@
 from simulation.deployment import CANCEL_S, platform_file
 from simulation.event_loop import now
 from simulation.machines import Machine, Task
-from soak.loopback import HOST, LoopbackNetwork, free_port
+from soak.loopback import HOST, PORTS, LoopbackNetwork
 from soak.processes import ControllerProcesses
 from soak.relay import Relay
 
@@ -54,7 +54,10 @@
 
     def _port(self, client: str, server: str) -> int:
         """Return the port at which a host serves another one."""
-        return self._ports.setdefault((client, server), free_port())
+        pair = client, server
+        if pair not in self._ports:
+            self._ports[pair] = PORTS.take()
+        return self._ports[pair]
 
     def _platform_file(self, index: int, state: dict[str, Any]) -> dict[str, Any]:
         node = f"node-{index}"
--- a/tests/soak/loopback.py
+++ b/tests/soak/loopback.py
@@ -4,8 +4,8 @@
 import functools
 import socket
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from random import Random, SystemRandom
+from collections.abc import Awaitable, Callable, Iterator
+from random import Random
 
 import anyio
 import cbor2
@@ -24,19 +24,45 @@
 _KEPT_CONNECTIONS = 64
 
 
-# Ports below those that the system gives to outgoing connections.
-_PORTS = range(15_000, 32_000)
-# Not seeded: runs at the same time must not choose the same ports.
-_port_rng = SystemRandom()
+# Ports below those that the system gives to outgoing connections, in blocks.
+_FIRST_PORT, _PORTS_PER_BLOCK, _BLOCKS = 12_000, 256, 78
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    while True:
-        port = _port_rng.choice(_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return port
+class PortAllocator:
+    """Gives out free ports from blocks that no other process of the soak uses.
+
+    A process holds a block by listening on the block's first port.
+    """
+
+    def __init__(self) -> None:
+        self._locks: list[socket.socket] = []
+        self._ports: Iterator[int] = iter(())
+
+    def take(self) -> int:
+        """Return a port that is free now and is not given out again."""
+        while True:
+            for port in self._ports:
+                with socket.socket() as probe, contextlib.suppress(OSError):
+                    probe.bind((HOST, port))
+                    return port
+            self._ports = iter(self._reserve_block())
+
+    def _reserve_block(self) -> range:
+        for block in range(_BLOCKS):
+            first = _FIRST_PORT + block * _PORTS_PER_BLOCK
+            lock = socket.socket()
+            try:
+                lock.bind((HOST, first))
+                lock.listen()
+            except OSError:
+                lock.close()
+                continue
+            self._locks.append(lock)
+            return range(first + 1, first + _PORTS_PER_BLOCK)
+        raise RuntimeError("all ports of the soak test are in use")
+
+
+PORTS = PortAllocator()
 
 
 class LoopbackNetwork(Network):
@@ -80,7 +106,7 @@
 
     def add_host(self, machine: Machine) -> None:
         """Serve a worker's direct commands at an address of its own."""
-        port = free_port()
+        port = PORTS.take()
         machine.addr = f"{HOST}:{port}"
         handler = functools.partial(self._handle, machine.name, self._commanding_controller)
         self.start(functools.partial(_server(handler).serve, HOST, port))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,7 @@
 
 from soak import play
 from soak.faults import FAULTS, draw_faults
+from soak.loopback import PortAllocator
 from soak.play import Run, RunOptions, Verdict
 
 COMMAND = [sys.executable, str(Path(__file__).parent / "run.py")]
@@ -96,6 +97,13 @@
     assert kinds == {fault.__name__ for fault in FAULTS}
 
 
+def test_two_runs_at_once_never_get_the_same_port() -> None:
+    """Guards against runs that cannot be made."""
+    allocators = [PortAllocator(), PortAllocator()]
+    ports = [allocator.take() for _ in range(400) for allocator in allocators]
+    assert len(set(ports)) == len(ports)
+
+
 def processes_with(text: str) -> list[int]:
     """Return the running processes whose command line contains a text."""
     found = []
