--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 from soak.faults import FAULTS, draw_faults
 from soak.loopback import PortAllocator
 from soak.play import Run, RunOptions, Verdict
+from soak.processes import ControllerProcesses
 
 COMMAND = [sys.executable, str(Path(__file__).parent / "run.py")]
 
@@ -68,6 +69,19 @@
     assert "ran_twice: planted" in (tmp_path / "broken.txt").read_text()
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        "ERROR ...: task job-000001/0 ran on machine vm-000001 (epoch 1, attempt 1) after its end was recorded; ...",
+        "Traceback (most recent call last):",
+    ],
+)
+def test_a_planted_defect_in_a_controllers_log_is_found(tmp_path: Path, line: str) -> None:
+    processes = ControllerProcesses(tmp_path, [])
+    processes.log_path(1).write_text(f"INFO ...: loaded 0 records\n{line}\n")
+    assert processes.defects(3) == [f"node-1: {line}"]
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_no_process_of_a_run_is_left_after_the_command_is_stopped(
     tmp_path: Path, number: signal.Signals
