simulation: copies of answered commands, and the rule that no attempt begins twice in an epoch

Cause: a task ran on two machines at once at production size. The records show that a start command, carried out and answered 4.2 s before, arrived at its machine once more after the attempt had been forgotten, and began it again. No test knows such a message: the simulated network delivers each direct command once.

Change: `CommandCopies` delivers a share of the answered direct commands once more, 0.2 s to two leases later, or keeps them until a test asks for them, such as at the return of their sender. The rule `began_twice`: a machine begins no attempt twice in one agent epoch. Both are off or unbroken in all present tests, and no random value is drawn while the share is zero.

Measured: the planted violation of the rule is found (tests/test_rules.py).

--- a/tests/simulation/machines.py
+++ b/tests/simulation/machines.py
@@ -46,6 +46,7 @@
         self.state: MachineState = "starting"
         self.epoch, self.sequence, self.fencing_token = 1, 0, 0
         self.tasks: dict[str, Task] = {}  # by name and attempt
+        self.begun: set[str] = set()  # names and attempts that it began in this epoch
         self.lease_started_at = 0.0
         self.reporting_controller = 0  # index of the controller that receives its heartbeats
         self.changed = anyio.Event()  # set by changes that are reported immediately
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from sandladder.transport import HttpError, Request, Response
+from simulation.command_copies import CommandCopies
 from simulation.event_loop import CURRENT_PROCESSOR, now
 from simulation.machines import Machine
 from simulation.tracing import TRACE
@@ -17,6 +18,7 @@
 CutMode = Literal["drop", "hold"]
 Handler = Callable[[str, Request], Awaitable[Response]]
 
+_OK = 200
 # Minimum delay of a message, in seconds.
 _MIN_DELAY_S = 0.0005
 # Interval at which a held message checks whether the cut has been healed, in seconds.
@@ -39,6 +41,7 @@
         self.tasks: Any = None  # the task group of the simulation
         self.delay_s = 0.01  # maximum delay of a message, in seconds
         self._observed = observed
+        self.command_copies = CommandCopies(rng, observed, self.start, self._handle_request)
 
     def add_host(self, machine: Machine) -> None:
         """Prepare for a rented machine, which registers its handler once it is up."""
@@ -103,6 +106,13 @@
             await anyio.sleep(_HELD_MESSAGE_CHECK_INTERVAL_S)
         if request.path == "/do" and now() - sent > timeout:
             self._observed["late command"] += 1
+        response = await self._handle_request(source, target, request)
+        if request.path == "/do" and response is not None and response.status == _OK:
+            self.command_copies.record(source, target, request)
+        return response
+
+    async def _handle_request(self, source: str, target: str, request: Request) -> Response | None:
+        """Let a host handle a request; return None if the host is down."""
         if self.on_request is not None:
             self.on_request("before", source, target, request)
         handler = self.handlers.get(target)
--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -2,7 +2,7 @@
 
 The rules are those of the protocol's page ("Rules").  Some are checked elsewhere: `forgotten` and
 part of `went_back` by `AnswerHistory`, `nothing_ran` by the tests, which count the starts.
-`too_early`, `orphaned`, `started_cancelled`, `accepted_bad` and `mixed_up` are not in that list,
+`began_twice`, `too_early`, `orphaned`, `started_cancelled`, `accepted_bad` and `mixed_up` are not in that list,
 but follow from the protocol.
 """
 
@@ -68,6 +68,16 @@
             shared.record_violation("ran_twice", detail)
 
 
+def check_begins_once(shared: SharedState, machine: Machine, key: str) -> None:
+    """Record a `began_twice` violation if a machine begins an attempt again in the same epoch.
+
+    `key` is the name and attempt of the task.  The first beginning counts also if it was refused.
+    """
+    if key in machine.begun:
+        shared.record_violation("began_twice", f"{key} on {machine.name}")
+    machine.begun.add(key)
+
+
 def check_dependencies_are_done(shared: SharedState, task: Task) -> None:
     """Record a `too_early` violation if a task starts before a dependency of its job is done."""
     for name in task.spec.get("awaits") or ():
--- a/tests/simulation/task_executor.py
+++ b/tests/simulation/task_executor.py
@@ -35,6 +35,7 @@
     def _begin(self, name: str, attempt: int, key: str) -> None:
         """Accept a task; a refused task exits immediately."""
         shared = self._shared
+        rules.check_begins_once(shared, self, key)
         spec = shared.specs[name.partition("/")[0]]
         remaining_s = 0.0
         if name not in shared.done:
@@ -81,6 +82,7 @@
         """
         if self.state == "running" and now() - self.lease_started_at > LEASE_S:
             self.tasks.clear()
+            self.begun.clear()
             self.epoch += 1
             self.lease_started_at = now()
             self._shared.expired_leases += 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,6 +40,13 @@
     rules.check_task_start(cluster, machine, add_task(cluster, machine, "0"))
 
 
+def plant_began_twice(cluster: SimulatedCluster) -> None:
+    machine = add_machine(cluster)
+    cluster.specs[JOB["id"]] = JOB
+    for verb in ("run", "halt", "reap", "run"):
+        machine.execute([{"verb": verb, "entry": f"{JOB['id']}/0", "try": 1, "mercy_s": 0.0}])
+
+
 def plant_quota(cluster: SimulatedCluster) -> None:
     machine = add_machine(cluster)
     for number in range(25):
