agents: an attempt is forgotten only under a later token than its start's

Cause: a guard against repetition was dropped while a repetition was still possible. An agent ignores a repeated start only while it remembers the attempt. The controller had attempts forgotten as soon as each start was answered, under the start's own token; a copy of the answered request, valid by token and epoch, was then carried out.

Change: `SentStarts` holds for each attempt the latest token under which this controller sent its start, until the agent shows a later token or epoch. `Reconciler` lets an attempt be forgotten only under a later token, and `attempt_ends.never_started` needs the same. It replaces `start_in_response` and `late_start_possible`. `unanswered_start_token` and `late_start_cancellations_known_until` remain: an unanswered start may be carried out for the first time, which the agent's memory does not prevent.

Direct starts do not wait for tokens: a session goes on under the token that its agent shows, also after a gap in this controller's tokens (`TokenRange`), since no other controller commands an agent that shows a token of this one; only a response gives it a later token, only if it needs one, and a command that such a response overtakes is sent again at once. `TokenRenewal` has a token written with the next inventory when an exited task awaits one: a lease after the last at the earliest, sooner if a machine lists over 128 tasks, and within a twentieth of the store's write rate for all controllers.

With it: an attempt that runs again after its exit was reported is logged with the tokens of its start and its forget, and counted; simulated clusters and the soak fail on it. A heartbeat whose token goes back, a report with an attempt twice and a 200 with an earlier token than the command prove nothing and are logged. Once a late start is ruled out, pending stops are sent again.

--- a/src/sandladder/agents/__init__.py
+++ b/src/sandladder/agents/__init__.py
@@ -23,13 +23,15 @@
 )
 from sandladder.agents.lease_expiry import LeaseExpiryProof
 from sandladder.agents.lease_renewal_guard import LeaseRenewalGuard
-from sandladder.agents.reconciler import HeartbeatResult, Reconciler
+from sandladder.agents.reconciler import CommandBatch, HeartbeatResult, Reconciler
 from sandladder.agents.reporting_agents import ReportingAgents
+from sandladder.agents.token_renewal import TokenRenewal
 
 __all__ = [
     "AgentRecords",
     "AgentService",
     "AgentSession",
+    "CommandBatch",
     "ControllerGroup",
     "HeartbeatResult",
     "LeaseExpiryProof",
@@ -38,5 +40,6 @@
     "ReportingAgents",
     "SchedulerCallbacks",
     "StoreAccess",
+    "TokenRenewal",
     "reported_ends",
 ]
--- a/src/sandladder/agents/agent_expiry.py
+++ b/src/sandladder/agents/agent_expiry.py
@@ -85,7 +85,7 @@
         """Return whether an agent may receive an unanswered start under the current token."""
         token = self._reconciler.fencing_token
         return any(
-            agent.unanswered_start_token == token and agent.accepts_token
+            agent.accepts_token and agent.unanswered_start_token == token
             for agent in self._reconciler.agents.values()
         )
 
--- a/src/sandladder/agents/agent_service.py
+++ b/src/sandladder/agents/agent_service.py
@@ -45,6 +45,7 @@
         """
         clients = AgentClients(connect)
         reconciler, cluster = agents.reconciler, scheduler.cluster
+        self._reconciler = reconciler
         lease = group.controller_lease
         self._redirect = AgentRedirect(workers, group, reconciler, cluster)
         intake = HeartbeatIntake(
@@ -71,6 +72,11 @@
         """The number of attempts that ran although the records held them as ended."""
         return self._sender.contradictions.count
 
+    @property
+    def repeated_attempts(self) -> int:
+        """The number of attempts that ran again on a machine after their exit was reported."""
+        return self._reconciler.repeated_attempts
+
     async def handle_heartbeat(self, request: Request) -> Response:
         """Answer an agent's heartbeat; see `HeartbeatEndpoint.handle`."""
         return await self._endpoint.handle(request)
--- a/src/sandladder/agents/attempt_ends.py
+++ b/src/sandladder/agents/attempt_ends.py
@@ -49,7 +49,7 @@
     controllers read the stop, commands of earlier controllers are rejected, and no start of this
     controller can still be delivered.
     """
-    if agent.late_start_possible or agent.heartbeat.fencing_token != token:
+    if agent.heartbeat.fencing_token != token:
         return []
     stopped = {
         (command.job, command.task, command.attempt)
@@ -62,6 +62,7 @@
         if (
             key in stopped
             and key not in agent.reported_tasks
+            and not agent.sent_starts.latest_token(key)
             and attempt.agent_epoch == agent.agent_epoch
             and stop_grace_s(job, attempt, cache) is not None
         ):
--- a/src/sandladder/agents/command_sender.py
+++ b/src/sandladder/agents/command_sender.py
@@ -9,16 +9,18 @@
 
 from sandladder import clock
 from sandladder.agents.agent_clients import AgentClients
-from sandladder.agents.agent_session import AgentSession, AttemptKey
+from sandladder.agents.agent_session import AgentSession
 from sandladder.agents.attempt_ends import never_started
 from sandladder.agents.collaborators import AgentRecords, SchedulerCallbacks
-from sandladder.agents.constants import FORGET, START
+from sandladder.agents.constants import FORGET
 from sandladder.agents.end_contradictions import (
     EndContradictions,
     UncommittedStops,
     uncommitted_stops,
 )
 from sandladder.agents.heartbeat_intake import HeartbeatIntake
+from sandladder.agents.reconciler import CommandBatch
+from sandladder.agents.sent_starts import AttemptKey
 from sandladder.concurrency import BackgroundTasks
 from sandladder.membership import ControllerLease
 from sandladder.model import AgentHeartbeat, Command
@@ -31,19 +33,6 @@
 _OK = 200
 
 
-class _CommandBatch(NamedTuple):
-    """Commands sent in one request, under one fencing token."""
-
-    token: int
-    commands: list[Command]
-    uncommitted_stops: UncommittedStops
-
-    @property
-    def has_start(self) -> bool:
-        """Whether the batch starts an attempt."""
-        return any(command.operation == START for command in self.commands)
-
-
 class _CommandResponse(NamedTuple):
     """An agent's response: a status, and a heartbeat made after it processed the commands."""
 
@@ -86,7 +75,7 @@
             or not self._background.running
         ):
             return
-        commands = self._reconciler.commands(agent, self._cache)
+        commands = self._reconciler.direct_batch(agent, self._cache).commands
         if any(command.operation != FORGET for command in commands):
             agent.command_in_flight = True
             self._background.start_soon(self._send_and_continue, agent)
@@ -116,28 +105,25 @@
 
     async def _send_batch(self, agent: AgentSession) -> bool:
         """Send the commands that the records call for; return whether more are pending."""
-        commands = self._reconciler.commands(agent, self._cache)
-        if not commands or not self._controller_lease.alive():
+        batch = self._reconciler.direct_batch(agent, self._cache)
+        if not batch.commands or not self._controller_lease.alive():
             return False
-        batch = _CommandBatch(
-            self._reconciler.fencing_token,
-            commands,
-            uncommitted_stops(agent, self._cache, commands),
-        )
+        stops = uncommitted_stops(agent, self._cache, batch.commands)
         if batch.has_start:
             known_until = self._renewal_guard.cancellations_known_until()
             agent.late_start_cancellations_known_until = min(
                 agent.late_start_cancellations_known_until, known_until
             )
+        self._reconciler.record_sent(agent, batch, direct=True)
         response = await self._request(agent, batch)
         if response is None:
             if batch.has_start:
                 agent.unanswered_start_token = batch.token
             await anyio.sleep(self._retry_delay_s)
             return False
-        return self._process_response(agent, batch, response)
+        return self._process_response(agent, batch, stops, response)
 
-    async def _request(self, agent: AgentSession, batch: _CommandBatch) -> _CommandResponse | None:
+    async def _request(self, agent: AgentSession, batch: CommandBatch) -> _CommandResponse | None:
         """Send a batch and return the response.
 
         Returns None without a usable response; the agent may have processed the batch regardless.
@@ -148,15 +134,20 @@
             response = await self._clients.get(machine, addr).request(
                 "POST", agent_messages.COMMANDS_PATH, body, timeout=self._timeout_s
             )
-            return _CommandResponse(
-                response.status, agent_messages.parse_heartbeat(loads(response.body))
-            )
+            # An agent that has executed the commands has seen their token.
+            min_token = batch.token if response.status == _OK else 0
+            heartbeat = agent_messages.parse_heartbeat(loads(response.body), min_token)
+            return _CommandResponse(response.status, heartbeat)
         except (HttpError, MalformedMessageError) as error:
             log.info("no valid response from machine %s to a command: %s", machine, error)
             return None
 
     def _process_response(
-        self, agent: AgentSession, batch: _CommandBatch, response: _CommandResponse
+        self,
+        agent: AgentSession,
+        batch: CommandBatch,
+        stops: UncommittedStops,
+        response: _CommandResponse,
     ) -> bool:
         """Process the response to a batch; return whether more commands are pending."""
         machine, heartbeat = agent.heartbeat.machine, response.heartbeat
@@ -171,17 +162,26 @@
         if agent.unanswered_start_token is None:
             agent.late_start_cancellations_known_until = math.inf
         if response.status != _OK:
-            if heartbeat.fencing_token > batch.token:
-                self._reconciler.revoke_token(machine)
-            return False
-        self.contradictions.check(batch.uncommitted_stops, heartbeat)
+            return self._process_rejection(agent, batch, heartbeat)
+        self.contradictions.check(stops, heartbeat)
         self._scheduler.record_ended_attempts(
             never_started(agent, self._cache, batch.commands, batch.token)
         )
         # Commands of this batch are not repeated before the next heartbeat.
-        remaining = self._reconciler.commands(agent, self._cache)
+        remaining = self._reconciler.direct_batch(agent, self._cache).commands
         return not _attempt_keys(remaining) <= _attempt_keys(batch.commands)
 
+    def _process_rejection(
+        self, agent: AgentSession, batch: CommandBatch, heartbeat: AgentHeartbeat
+    ) -> bool:
+        """Process the rejection of a batch; return whether to send it again at once."""
+        if agent.accepts_token and agent.heartbeat.fencing_token > batch.token:
+            # A response to a heartbeat has overtaken the batch with a later token.
+            return True
+        if heartbeat.fencing_token > batch.token:
+            self._reconciler.revoke_token(agent.heartbeat.machine)
+        return False
+
 
 def _attempt_keys(commands: Iterable[Command]) -> set[AttemptKey]:
     """Return the attempts that the commands start or stop."""
--- a/src/sandladder/agents/end_contradictions.py
+++ b/src/sandladder/agents/end_contradictions.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from sandladder.agents.agent_session import AgentSession, AttemptKey
+from sandladder.agents.agent_session import AgentSession
 from sandladder.agents.constants import STOP, TASK_EXITED
+from sandladder.agents.sent_starts import AttemptKey
 from sandladder.model import AgentHeartbeat, Command
 from sandladder.state import StateCache
 
--- a/src/sandladder/agents/heartbeat_endpoint.py
+++ b/src/sandladder/agents/heartbeat_endpoint.py
@@ -1,11 +1,11 @@
 """HTTP endpoint for agent heartbeats."""
 
+import logging
 from typing import NamedTuple
 
 from sandladder.agents.agent_redirect import AgentRedirect
 from sandladder.agents.agent_session import AgentSession
 from sandladder.agents.collaborators import ClusterObservations, ControllerGroup, StoreAccess
-from sandladder.agents.constants import START
 from sandladder.agents.heartbeat_intake import HeartbeatIntake
 from sandladder.agents.lease_renewal import LeaseRenewer
 from sandladder.agents.reconciler import Reconciler
@@ -13,6 +13,8 @@
 from sandladder.protocol import MalformedMessageError, agent_messages, dumps, job_messages, loads
 from sandladder.transport import Request, Response, peer_transport
 
+log = logging.getLogger(__name__)
+
 # Status codes of the responses.
 _OK = 200
 _MALFORMED = 400
@@ -58,6 +60,7 @@
         try:
             heartbeat = agent_messages.parse_heartbeat(loads(request.body))
         except MalformedMessageError as error:
+            log.warning("rejecting a malformed heartbeat: %s", error)
             return Response(_MALFORMED, job_messages.error_body(str(error)))
         redirected = self._redirect_elsewhere(heartbeat)
         if redirected is not None:
@@ -90,14 +93,11 @@
             return Response(_OUTDATED, job_messages.error_body("a newer report is known"))
         if before != _published_state(agent):
             self._publish(agent)
-        commands = self._reconciler.response_commands(agent, self._store.cache)
+        batch = self._reconciler.response_batch(agent, self._store.cache)
         if not self._renewer.renew(agent):
             return _redirect_response(None)
-        if any(command.operation == START for command in commands):
-            agent.start_in_response = True
-        return Response(
-            _OK, dumps(agent_messages.commands_value(self._reconciler.fencing_token, commands))
-        )
+        self._reconciler.record_sent(agent, batch, direct=False)
+        return Response(_OK, dumps(agent_messages.commands_value(batch.token, batch.commands)))
 
     def _publish(self, agent: AgentSession) -> None:
         """Send a new or changed machine to the peers, ahead of this controller's inventory."""
--- a/src/sandladder/agents/heartbeat_intake.py
+++ b/src/sandladder/agents/heartbeat_intake.py
@@ -1,5 +1,6 @@
 """Processing of heartbeats, from an agent's request or its response to a command."""
 
+import logging
 from collections.abc import Callable
 
 import anyio
@@ -11,6 +12,8 @@
 from sandladder.concurrency import BackgroundTasks
 from sandladder.model import AgentHeartbeat
 
+log = logging.getLogger(__name__)
+
 
 class HeartbeatIntake:
     """Updates the agent's session and the cluster view, and records proved ends."""
@@ -49,14 +52,26 @@
             The agent's session, or None if the heartbeat is not newer than the latest known one.
         """
         now = self._scheduler.advance_time()
+        known = self._reconciler.agents.get(heartbeat.machine)
+        late_start_possible = known is not None and known.unanswered_start_token is not None
         agent, is_new = self._reconciler.receive_heartbeat(heartbeat, now, direct=direct)
         if not is_new:
+            if heartbeat.agent_epoch < agent.agent_epoch:
+                log.info(
+                    "ignoring a heartbeat of machine %s of epoch %d: it has begun epoch %d",
+                    heartbeat.machine,
+                    heartbeat.agent_epoch,
+                    agent.agent_epoch,
+                )
             return None
         self._scheduler.cluster.record_heartbeat(agent)
         if agent.accepts_token and not agent.synced and self._background.running:
             self._background.start_soon(self._synchronize, agent, agent.acceptance_count)
         ended = reported_ends(agent, self._store.cache)
         self._scheduler.record_ended_attempts(ended)
+        if late_start_possible and agent.unanswered_start_token is None:
+            # The answer to a stop may now prove that an attempt never started.
+            self._send_commands(agent)
         return agent
 
     async def _synchronize(self, agent: AgentSession, acceptance_count: int) -> None:
--- /dev/null
+++ b/src/sandladder/agents/token_range.py
@@ -0,0 +1,23 @@
+"""Ranges of fencing tokens that one controller process has acquired."""
+
+from typing import NamedTuple
+
+
+class TokenRange(NamedTuple):
+    """Consecutive fencing tokens of one process; none between them belongs to another one.
+
+    While an agent shows a token of the range, no other controller has commanded it since it showed
+    the first one, and it rejects all tokens that other controllers acquired before.
+    """
+
+    first: int
+    last: int
+
+    def covers(self, token: int) -> bool:
+        """Return whether a token belongs to the range."""
+        return self.first <= token <= self.last
+
+
+# No token is acquired yet.  If the first token ever acquired extends it, agents that have seen no
+# token can have been commanded by nobody else.
+NO_TOKENS = TokenRange(0, 0)
--- a/src/sandladder/controller/services.py
+++ b/src/sandladder/controller/services.py
@@ -16,6 +16,7 @@
     ReportingAgents,
     SchedulerCallbacks,
     StoreAccess,
+    TokenRenewal,
 )
 from sandladder.api import (
     AdmissionCheck,
@@ -165,6 +166,12 @@
         """Construct the agents' state, lease expiry proofs and the scheduler."""
         workers = self.settings.platform.deployment.workers
         self.reconciler = Reconciler()
+        self.token_renewal = TokenRenewal(
+            self.reconciler,
+            self.lease_s,
+            len(self.nodes),
+            self.settings.platform.deployment.state.write_rps,
+        )
         self.lease_expiry = LeaseExpiryProof(
             self.node, self.nodes, self.lease_s, clock.now(), self.process
         )
@@ -205,7 +212,8 @@
                 reporting_agents.inventory,
             ),
             fencing_token=self._fencing_token,
-            on_fencing_token=self.reconciler.adopt_fencing_token,
+            on_fencing_token=self._token_acquired,
+            token_due=lambda: self.token_renewal.is_due(clock.now()),
             on_acquired=self._lease_acquired,
         )
         detector = FailureDetector(
@@ -446,6 +454,10 @@
     def _fencing_token(self) -> int:
         return self.reconciler.fencing_token
 
+    def _token_acquired(self, token: int) -> None:
+        self.reconciler.adopt_fencing_token(token)
+        self.token_renewal.record_token(clock.now())
+
     def _advance_time(self) -> float:
         """Set the cluster view's time to now and return it, in seconds on the steady clock."""
         now = self.cluster_view.now = clock.now()
--- a/src/sandladder/controller/statistics.py
+++ b/src/sandladder/controller/statistics.py
@@ -38,7 +38,7 @@
         log.info(
             "gate: %d premises checked (%d without the index), verdicts %s; "
             "%d transactions committed (%s), %d rejected (%s), %d changes waiting; "
-            "%d ended attempts ran",
+            "%d ended attempts ran, %d ran again after their exit",
             gate.premise_checks,
             gate.full_scan_checks,
             dict(gate.verdicts),
@@ -48,4 +48,5 @@
             dict(committer.conflicting_keys),
             committer.queued,
             self._agent_service.contradicted_ends,
+            self._agent_service.repeated_attempts,
         )
--- a/src/sandladder/membership/controller_lease.py
+++ b/src/sandladder/membership/controller_lease.py
@@ -21,6 +21,7 @@
     LeaseRenewal,
     PendingChange,
     PreconditionFailedError,
+    Priority,
     StateCache,
     StoreClient,
     StoreRequestError,
@@ -62,6 +63,7 @@
         inventory: InventoryWriter,
         fencing_token: Callable[[], int],
         on_fencing_token: Callable[[int], None],
+        token_due: Callable[[], bool],
         on_acquired: Callable[[int], None],
     ) -> None:
         """Create the object without acquiring a lease; `run` acquires it.
@@ -79,6 +81,7 @@
             inventory: writes the inventory.
             fencing_token: returns the current fencing token, 0 before the first.
             on_fencing_token: called with each acquired token.
+            token_due: returns whether the next inventory is to be written with a later token.
             on_acquired: called with the token once the lease is held and the inventory is stored
                 under it.
         """
@@ -94,6 +97,7 @@
         self._inventory = inventory
         self._fencing_token = fencing_token
         self._on_fencing_token = on_fencing_token
+        self._token_due = token_due
         self._on_acquired = on_acquired
         # Whether another process has since acquired a lease under this name, which fences this one.
         self.superseded = False
@@ -173,20 +177,25 @@
                     await self._watch.barrier()
                     if self._renewal is None:
                         return False
-                    await self._acquire_fencing_token(self._renewal.lease, minimum)
+                    await self._acquire_fencing_token(
+                        self._renewal.lease, PRIORITY_LEASE, above=minimum
+                    )
             except (TimeoutError, LeaseExpiredError, PreconditionFailedError):
                 return False
             return True
 
     async def publish_inventory(self) -> None:
-        """Write the inventory at its interval until cancelled."""
+        """Write the inventory at its interval, with a later token if due, until cancelled."""
         while True:
             await anyio.sleep(self._inventory_interval_s)
             if not self.alive() or self._renewal is None:
                 await anyio.sleep(self._report_s / 6)
                 continue
             try:
-                await self._write_inventory(self._renewal.lease)
+                if self._token_due():
+                    await self._acquire_fencing_token(self._renewal.lease, PRIORITY_REQUEST)
+                else:
+                    await self._write_inventory(self._renewal.lease)
             except LeaseExpiredError:
                 self._drop_lease()
                 self._wakeup.set()
@@ -211,7 +220,7 @@
             renewal = LeaseRenewal(lease, self._expires_at(sent))
         # If the lease expires while the records are read, the commit raises LeaseExpiredError.
         await self._watch.barrier()
-        await self._acquire_fencing_token(renewal.lease)
+        await self._acquire_fencing_token(renewal.lease, PRIORITY_LEASE)
         if self.superseded:
             return
         self._renewal, self._inventory_stored = renewal, True
@@ -225,7 +234,9 @@
         if self._renewal is not None:  # None if this process was fenced in the meantime
             self._renewal = LeaseRenewal(lease, self._expires_at(sent))
 
-    async def _acquire_fencing_token(self, lease: int, above: int = 0) -> None:
+    async def _acquire_fencing_token(
+        self, lease: int, priority: Priority, *, above: int = 0
+    ) -> None:
         """Increment the shared counter of fencing tokens and adopt the new value.
 
         The inventory is written in the same transaction, so that the token is never visible
@@ -247,7 +258,7 @@
             self._inventory.put(transaction, acquired, lease)
             return True
 
-        change = PendingChange("fencing token", PRIORITY_LEASE, 2, apply, leased=True)
+        change = PendingChange("fencing token", priority, 2, apply, leased=True)
         await self._committer.add(change).wait()
         self._on_fencing_token(acquired)
         log.info(
--- a/src/sandladder/protocol/agent_messages.py
+++ b/src/sandladder/protocol/agent_messages.py
@@ -62,22 +62,29 @@
     )
 
 
-def parse_heartbeat(raw: Any) -> AgentHeartbeat:
+def parse_heartbeat(raw: Any, min_token: int = 0) -> AgentHeartbeat:
     """Parse a heartbeat, which is an agent's request or its response to commands.
 
     Args:
         raw: the decoded body.
+        min_token: the lowest fencing token that it may show.
 
     Raises:
         MalformedMessageError: the body is malformed; the text names the field.
     """
     if not isinstance(raw, dict):
         raise MalformedMessageError("not a map")
+    token = read_count(raw, "seal")
+    if token < min_token:
+        raise MalformedMessageError(f"at least {min_token} is needed", "seal")
     tasks = raw.get("entries")
     if tasks is None:
         tasks = []
     if not isinstance(tasks, list):
         raise MalformedMessageError("a list is needed", "entries")
+    statuses = tuple(_parse_task_status(task) for task in tasks)
+    if len({(status.job, status.task, status.attempt) for status in statuses}) < len(statuses):
+        raise MalformedMessageError("an attempt is listed twice", "entries")
     return AgentHeartbeat(
         machine=read_text(raw, "rung"),
         addr=read_text(raw, "addr"),
@@ -86,11 +93,11 @@
         spot=raw.get("loaners") is True,
         agent_epoch=read_count(raw, "shift"),
         sequence_number=read_count(raw, "tally"),
-        fencing_token=read_count(raw, "seal"),
+        fencing_token=token,
         notice_s=(
             None if raw.get("recall_s") is None else read_number(raw, "recall_s", _MIN_NOTICE_S)
         ),
-        tasks=tuple(_parse_task_status(task) for task in tasks),
+        tasks=statuses,
     )
 
 
--- a/tests/simulation/controllers.py
+++ b/tests/simulation/controllers.py
@@ -191,11 +191,15 @@
             node.peers.connections[name].probe()
 
     def check_ends(self, node: Any) -> None:
-        """Record a violation if a controller saw attempts run after their end was recorded."""
+        """Record a violation if a controller saw attempts run after their end or their exit."""
         # The version in production does not count them.
-        count = getattr(getattr(node, "agent_service", None), "contradicted_ends", 0)
-        if count:
-            self._shared.record_violation("ended_running", f"{count} attempts at {node.node}")
+        service = getattr(node, "agent_service", None)
+        for rule, counter in (
+            ("ended_running", "contradicted_ends"),
+            ("ran_again", "repeated_attempts"),
+        ):
+            if count := getattr(service, counter, 0):
+                self._shared.record_violation(rule, f"{count} attempts at {node.node}")
 
     def end_twin(self, index: int) -> None:
         """Stop the second process that `boot` started for a controller."""
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -11,7 +11,7 @@
 import anyio
 
 from simulation.cluster import SimulatedCluster
-from simulation.deployment import ZONES
+from simulation.deployment import LEASE_S, ZONES
 from simulation.event_loop import now
 from simulation.network import CutMode
 from simulation.workers import Worker
@@ -58,6 +58,26 @@
                 cluster.boot(index)
 
 
+async def restart_with_copies(cluster: SimulatedCluster, index: int, after_s: float) -> None:
+    """Restart a controller within a second; all kept copies of commands arrive as it returns."""
+    await restart(cluster, index, after_s)
+    cluster.network.command_copies.deliver_kept()
+
+
+async def copied_commands(cluster: SimulatedCluster) -> None:
+    """Copy answered commands, while controllers restart within a second and machines hang."""
+    copies = cluster.network.command_copies
+    copies.share = cluster.rng.uniform(0.5, 1.0)
+    for _ in range(6):
+        copies.kept = []
+        for worker in random_machines(cluster, 4):
+            worker.hung_until = now() + cluster.rng.uniform(0.2, 0.9 * LEASE_S)
+        await anyio.sleep(cluster.rng.uniform(2.0, 8.0))
+        index = cluster.rng.randrange(cluster.count)
+        await restart_with_copies(cluster, index, cluster.rng.uniform(0.1, 0.9))
+    copies.kept = None
+
+
 async def store_outage(cluster: SimulatedCluster) -> None:
     """Make the store refuse all controllers for 8 or 40 seconds, later a single controller."""
     await anyio.sleep(6.0)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from simulation.deployment import CANCEL_S, LEASE_S, LIST_LAG_S
 from simulation.event_loop import now
 from simulation.fault_scenarios import cancel_running_jobs, leader
-from simulation.faults import random_machines, restart, running_machines
+from simulation.faults import random_machines, restart, restart_with_copies, running_machines
 from simulation.network import CutMode
 from soak.cluster import SoakCluster
 
@@ -134,6 +134,20 @@
             worker.commands_held_until = now() + plan.for_s
 
 
+async def copied_commands(cluster: SoakCluster, plan: FaultPlan) -> None:
+    """Deliver copies of all commands as a controller or the machines return within a second."""
+    copies = cluster.network.command_copies
+    copies.kept = []
+    await anyio.sleep(plan.for_s)
+    if plan.share < 0.3:
+        for worker in random_machines(cluster, 2):
+            worker.hung_until = now() + plan.share
+        copies.deliver_kept()
+    else:
+        await restart_with_copies(cluster, plan.node, plan.share)
+    copies.kept = None
+
+
 async def deaf_machines(cluster: SoakCluster, plan: FaultPlan) -> None:
     """Lose all responses and commands to some machines."""
     for worker in random_machines(cluster, 3):
@@ -188,6 +202,7 @@
     late_transactions: (5.0, 25.0),
     late_reports: (5.0, 20.0),
     late_commands: (2.0, 20.0),
+    copied_commands: (2.0, 2 * LEASE_S),
     deaf_machines: (2.0, 2 * LEASE_S),
     mute_machines: (2.0, 2 * LEASE_S),
     hanging_machines: (2.0, 2 * LEASE_S),
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -15,6 +15,8 @@
 # Intervals of the users' submissions, cancellations and questions, in seconds.
 _USER_INTERVAL_S = (0.2, 0.8)
 _CANCEL_SHARE, _PIPELINE_SHARE, _REPEAT_SHARE = 0.25, 0.1, 0.2
+# Share of the answered commands that arrive once more.
+_COPIED_COMMAND_SHARE = 0.5
 _TRIES = 10_000
 # The largest number of controllers of a run.
 _MAX_CONTROLLERS = 5
@@ -68,6 +70,7 @@
         self.cluster.cloud.fast_boot_share = 0.3
         self.cluster.concurrent_read_share = 0.2
         self.cluster.cancel_at_end_share = 0.05
+        self.cluster.network.command_copies.share = _COPIED_COMMAND_SHARE
         self.plans: list[FaultPlan] = draw_faults(options.seed, count, options.seconds)
         self.ids: list[str] = []
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -14,7 +14,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 _DEPLOY_FILE = ROOT / "deploy" / "service.toml"
 # Log lines that no fault explains.
-_DEFECT_LINES = ("Traceback", "after its end was recorded")
+_DEFECT_LINES = ("Traceback", "after its end was recorded", "after its exit was reported")
 
 
 class ControllerProcesses:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -73,6 +73,7 @@
     "line",
     [
         "ERROR ...: task job-000001/0 ran on machine vm-000001 (epoch 1, attempt 1) after its end was recorded; ...",
+        "ERROR ...: task job-000001/0 runs again on machine vm-000001 (epoch 1, attempt 1) after its exit was reported; ...",
         "Traceback (most recent call last):",
     ],
 )
--- a/tests/test_agent_service.py
+++ b/tests/test_agent_service.py
@@ -147,7 +147,8 @@
         assert fixture.session.late_start_cancellations_known_until == known_until
         fixture.reconciler.adopt_fencing_token(TOKEN + 1)
         fixture.reconciler.receive_heartbeat(heartbeat(2, TOKEN + 1), clock.now(), direct=False)
-        assert not fixture.session.late_start_possible
+        assert fixture.session.unanswered_start_token is None
+        assert not fixture.session.sent_starts.latest_token(("job-000001", 0, 1))
         assert fixture.session.late_start_cancellations_known_until == math.inf
 
     run_with_sender(agent, steps)
--- a/tests/test_attempt_ends.py
+++ b/tests/test_attempt_ends.py
@@ -59,7 +59,7 @@
     """Return the contradictions that the response to the session's pending commands shows."""
     reconciler = Reconciler()
     contradictions = EndContradictions(cache)
-    stops = uncommitted_stops(session, cache, reconciler.commands(session, cache))
+    stops = uncommitted_stops(session, cache, reconciler.direct_batch(session, cache).commands)
     contradictions.check(stops, response)
     return contradictions.count
 
@@ -132,11 +132,19 @@
     "a task without a number": {
         "entries": [{"entry": "job-000001", "try": 1, "standing": "exited"}]
     },
+    "an attempt twice": {
+        "entries": [
+            {"entry": "job-000001/0", "try": 1, "standing": "exited", "cause": "error"},
+            {"entry": "job-000001/0", "try": 1, "standing": "running"},
+        ]
+    },
     "a state that is no text": {"entries": [{"entry": "job-000001/0", "try": 1, "standing": 7}]},
 }
 
 
-def test_malformed_heartbeats_record_no_end_and_start_nothing() -> None:
+def test_malformed_heartbeats_record_no_end_and_start_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """Each would otherwise be the newest heartbeat of the machine."""
     cluster = SimulatedCluster(6)
     statuses: dict[str, set[int]] = {}
@@ -161,6 +169,7 @@
 
     run(cluster, main)
     assert statuses == {description: {400} for description in MALFORMED_FIELDS}
+    assert "rejecting a malformed heartbeat: entries: an attempt is listed twice" in caplog.text
     assert cluster.violations == []
     assert sum(cluster.starts.values()) == 4
 
--- a/tests/test_combined_faults.py
+++ b/tests/test_combined_faults.py
@@ -15,7 +15,7 @@
     leader,
     run_with_faults,
 )
-from simulation.faults import random_machines, restart, running_machines
+from simulation.faults import random_machines, restart, restart_with_copies, running_machines
 
 
 async def leaders_crash_with_uncommitted_task_ends(cluster: SimulatedCluster) -> None:
@@ -142,6 +142,18 @@
         cluster.network.heal()
 
 
+async def commands_copied(cluster: SimulatedCluster) -> None:
+    """Copy answered commands while leaders change within a second and running jobs are cancelled."""
+    copies = cluster.network.command_copies
+    copies.share = cluster.rng.uniform(0.5, 1.0)
+    for _ in range(4):
+        copies.kept = []
+        await anyio.sleep(cluster.rng.uniform(3.0, 8.0))
+        await cancel_running_jobs(cluster, 1, cluster.rng.uniform(0.2, LEASE_S - 1.0))
+        await restart_with_copies(cluster, leader(cluster), cluster.rng.uniform(0.1, 0.9))
+    copies.kept = None
+
+
 async def store_responses_lost(cluster: SimulatedCluster) -> None:
     """Apply transactions immediately but lose their responses, while leaders restart."""
     cluster.store.unanswered.share, cluster.store.unanswered.at_once = 0.25, True
@@ -249,6 +261,7 @@
     cancelled_at_completion: ("cancelled at completion",),
     machines_replaced_at_once: ("tasks on recently booted machines",),
     zone_partitioned: ("work in a cut zone",),
+    commands_copied: ("copied command",),
 }
 
 
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -14,6 +14,7 @@
     Fault,
     all_faults,
     controller_crashes,
+    copied_commands,
     machine_failures,
     network_cuts,
     no_fault,
@@ -59,20 +60,33 @@
     network_cuts,
     machine_failures,
     all_faults,
+    copied_commands,
 ]
 
 
+@pytest.mark.parametrize("fault", FAULTS[:-1], ids=lambda f: f.__name__)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_rules_hold_with_copies_of_all_answered_commands(fault: Fault, seed: int) -> None:
+    play_small_cluster(seed * 100 + FAULTS.index(fault), fault, copied_share=1.0)
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
 @pytest.mark.parametrize("seed", [1, 2])
 def test_rules_hold_and_all_jobs_complete(fault: Fault, seed: int) -> None:
     play_small_cluster(seed * 100 + FAULTS.index(fault), fault)
 
 
-def play_small_cluster(seed: int, fault: Fault) -> None:
-    """Run jobs with a fault from a seed, and check that no rule is violated."""
+def play_small_cluster(seed: int, fault: Fault, copied_share: float = 0.0) -> None:
+    """Run jobs with a fault from a seed, and check that no rule is violated.
+
+    `copied_share` is the share of the answered commands that arrive once more.
+    """
     cluster = SimulatedCluster(seed)
+    cluster.network.command_copies.share = copied_share
     run(cluster, lambda: run_jobs_with_fault(cluster, fault))
     assert cluster.violations == []
+    copied = copied_share > 0 or fault is copied_commands
+    assert bool(cluster.observed["copied command"]) == copied
     assert cluster.store.largest_value_bytes < 8 * 1024
 
 
--- a/tools/capacity/step_times.py
+++ b/tools/capacity/step_times.py
@@ -79,7 +79,7 @@
         state.cluster_view.record_heartbeat(agent)
         agent.synced = True
         reported_ends(agent, state.cache)
-        state.reconciler.response_commands(agent, state.cache)
+        state.reconciler.response_batch(agent, state.cache)
 
     return stopwatch.steps(step, 100)
 
--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -8,7 +8,7 @@
 the store enforces a deployment's limits.  As time is virtual, the store and the protocol bound the
 starts; processor time is neither charged nor measured.  The safety rules are checked once a second
 of virtual time.  `--minutes` bounds the real time.  `--faults` crashes controllers, cuts links and
-ends machines during the load.
+ends machines during the load; `--copies` delivers a share of the answered commands once more.
 
 Exit status: 1 if a rule was violated, 2 if the time ran out.
 """
@@ -129,6 +129,11 @@
         ]
 
 
+def newest_token(cluster: ScaleCluster) -> int:
+    """Return the newest fencing token of any controller; tokens are numbered from 1."""
+    return max((node.reconciler.fencing_token for node in cluster.nodes.values()), default=0)
+
+
 def percentile(values: list[float], percent: int) -> float:
     """Return a percentile of the values, or 0 if there are none."""
     return quantiles(values, n=100)[percent - 1] if len(values) > 1 else sum(values)
@@ -151,6 +156,7 @@
         await anyio.sleep(_WARM_UP_S)
         start_time, starts_before = now(), cluster.starts.total()
         writes_before = len(cluster.store.history)
+        token_before = newest_token(cluster)
         starts_by_second: Counter[int] = Counter()
         while now() < start_time + options.seconds:
             starts = cluster.starts.total()
@@ -165,6 +171,9 @@
             "starts a second": round((cluster.starts.total() - starts_before) / counted_s, 1),
             "most starts in a second": max(starts_by_second.values()),
             "changes a second": round((len(cluster.store.history) - writes_before) / counted_s, 2),
+            "tokens a minute": round(60 * (newest_token(cluster) - token_before) / counted_s, 1),
+            "most tasks listed by a machine": max(len(m.tasks) for m in cluster.machines.values()),
+            "copies delivered": cluster.observed["copied command"],
             "tasks running": len(cluster.tasks_on_machines()),
             "urgent wait p50, p99 (s)": _wait_percentiles(load, start_time, True),
             "other wait p50, p99 (s)": _wait_percentiles(load, start_time, False),
@@ -198,6 +207,9 @@
     )
     parser.add_argument("--minutes", type=float, default=10.0, help="limit of real time")
     parser.add_argument("--faults", action="store_true", help="inject faults during the load")
+    parser.add_argument(
+        "--copies", type=float, default=0.0, help="share of the commands that arrive once more"
+    )
     parser.add_argument("--seed", type=int, default=1, help="seed of the simulation")
     options = parser.parse_args()
     logging.disable(logging.WARNING)
@@ -207,11 +219,13 @@
     )
     cluster.store.write_rps, cluster.store.txn_ops = limits.write_rps, limits.txn_ops
     cluster.cloud.capacity = options.workers
+    cluster.network.command_copies.share = options.copies
     counts: dict[str, Any] = {
         "workers": options.workers,
         "controllers": options.controllers,
         "teams": options.teams,
         "faults": options.faults,
+        "share of commands copied": options.copies,
         "asked for a second": options.rate,
         "state service, changes a second": limits.write_rps,
     }
