agents: a controller's absence counts anew once its inventory may have changed

What callers saw: nothing traced. A task may run twice (`ran_twice`): attempts are recorded as ended while they run.

Cause: the proof of lease expiry kept the time since which a controller had been absent for as long as each look at the records showed no inventory. A controller that returned, answered agents and ended between two looks counted as absent all the time: an action on stale knowledge. The store's log holds the write and the removal, but only the result was looked at; a full read has no log.

Change: `LeaseExpiryProof.observe_inventories` is told which inventories changed. The absence of these counts anew, after a full read that of all.

Why it works: an absence now begins at the read that certainly followed the last removal, and by then the controller's lease had ended. Liveness: the absence of a controller that is gone for good goes on (tested), so a machine is found lost as soon as before; after a full read, a lease later.

--- a/src/sandladder/agents/lease_expiry.py
+++ b/src/sandladder/agents/lease_expiry.py
@@ -148,11 +148,21 @@
             reads.append(_StoreRead(sent_at, revision))
 
     def observe_inventories(
-        self, nodes: dict[str, MachineInventory], now: float, unreadable_nodes: Collection[str] = ()
+        self,
+        nodes: dict[str, MachineInventory],
+        now: float,
+        unreadable_nodes: Collection[str] = (),
+        changed_nodes: Collection[str] | None = None,
     ) -> None:
         """Update the inventories of all controllers from the cached records.
 
-        A controller with an unreadable inventory is running and may have answered any agent.
+        Args:
+            nodes: the readable inventories, by controller.
+            now: the current time.
+            unreadable_nodes: controllers with an unreadable inventory; they are running and may
+                have answered any agent.
+            changed_nodes: controllers whose inventories may have changed since the previous call;
+                None: all of them.
         """
         own = nodes.get(self._node)
         self._name_conflict = self._node in unreadable_nodes or (
@@ -163,15 +173,20 @@
                 self._observations.pop(name, None)
                 self._absent_since.pop(name, None)
             else:
-                self._observe_peer(name, nodes.get(name), now)
+                changed = changed_nodes is None or name in changed_nodes
+                self._observe_peer(name, nodes.get(name), now, changed)
 
-    def _observe_peer(self, name: str, inventory: MachineInventory | None, now: float) -> None:
+    def _observe_peer(
+        self, name: str, inventory: MachineInventory | None, now: float, changed: bool
+    ) -> None:
         previous = self._observations.get(name)
         if inventory is None:
             self._observations.pop(name, None)
             # The inventory was attached to the controller's lease.  The lease has expired, so the
-            # controller has stopped answering by now.
-            self._absent_since.setdefault(name, now)
+            # controller has stopped answering by now.  If the inventory changed, the controller may
+            # have held another lease since the previous call.
+            if changed or name not in self._absent_since:
+                self._absent_since[name] = now
             return
         self._absent_since.pop(name, None)
         if previous is None or previous.inventory is not inventory:
--- a/src/sandladder/controller/change_handler.py
+++ b/src/sandladder/controller/change_handler.py
@@ -53,6 +53,8 @@
         self._reconciler = reconciler
         self._agent_service = agent_service
         self._dependency_resolver = dependency_resolver
+        # The full reads of the store whose inventories the lease expiry proof has observed.
+        self._observed_resets = 0
 
     def read_completed(self, sent_at: float) -> None:
         """Record that the cache includes a store read sent at `sent_at` (steady clock, seconds)."""
@@ -80,9 +82,18 @@
     def _apply_member_records(self, keys: dict[str, None]) -> None:
         """Apply changes to the controllers' inventories and to the roster."""
         now = self._cluster_view.now
-        if any(key.startswith(INVENTORY_PREFIX) for key in keys):
+        changed_nodes = {
+            key.removeprefix(INVENTORY_PREFIX) for key in keys if key.startswith(INVENTORY_PREFIX)
+        }
+        # A full read does not show what was written and deleted since the previous read.
+        fully_read = self._cache.reset_count != self._observed_resets
+        self._observed_resets = self._cache.reset_count
+        if changed_nodes or fully_read:
             self._lease_expiry.observe_inventories(
-                self._cache.inventories, now, self._cache.unreadable_nodes
+                self._cache.inventories,
+                now,
+                self._cache.unreadable_nodes,
+                None if fully_read else changed_nodes,
             )
             self._controller_lease.observe()
             self._membership.observe(now)
--- a/src/sandladder/state/cache/state_cache.py
+++ b/src/sandladder/state/cache/state_cache.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.revision = 0
+        self.reset_count = 0  # number of full reads
         self.unreadable: set[str] = set()
         self._split = SplitRecords()
         # Keys that this controller's commits changed after `revision`, with the commit's revision:
@@ -87,6 +88,7 @@
         # changes that the watch applies next, before the records are used.
         changed |= self._join_split_records()
         self._advance(max(revision, self.revision))
+        self.reset_count += 1
         return changed
 
     def apply(self, revision: int, events: Iterable[tuple[str, Any, int]]) -> dict[str, None]:
--- a/src/sandladder/state/watch.py
+++ b/src/sandladder/state/watch.py
@@ -46,7 +46,7 @@
             store: the client to read with.
             cache: the cache to update.
             controller_count: the number of controllers that share the rate limits.
-            on_change: called with the keys that a read changed.
+            on_change: called with the keys that a read changed, and after each full read.
             on_synced: called after a read with the time on the steady clock at which it was sent;
                 the cache holds all commits before that time.
             agent_heartbeat_s: the interval of the agents' heartbeats, in seconds.
@@ -107,6 +107,7 @@
     async def _read_changes(self) -> None:
         changes = await self._store.follow(self._cache.revision) if self.loaded else None
         changed: dict[str, None] = {}
+        load = changes is None
         if changes is None:
             changed = await self._load()
             changes = await self._store.follow(self._cache.revision)
@@ -116,7 +117,7 @@
         # then the parts of split records may not match.
         changed = changed | self._cache.apply(changes.revision, changes.entries)
         self.loaded = True
-        if changed:
+        if changed or load:
             self._on_change(changed)
 
     async def _load(self) -> dict[str, None]:
--- a/tests/simulation/store.py
+++ b/tests/simulation/store.py
@@ -70,6 +70,11 @@
         self.rate_limited = 0  # transactions refused by the rate limit
         self.too_large = 0  # transactions refused by a size limit
 
+    def forget_log(self) -> None:
+        """Drop the log of changes, as after many of them, so that followers read all records."""
+        self._log.clear()
+        self._log.append((self.revision + 1, "", None))
+
     def outage(self, down: bool) -> None:
         """Begin or end an outage; its end renews all leases."""
         self.down = down
--- a/tests/test_lease_expiry.py
+++ b/tests/test_lease_expiry.py
@@ -116,3 +116,14 @@
     proof.observe_inventories({}, 60.0)
     proof.record_store_read(60.0, 90)
     assert not proof.has_expired("vm", 1, 60.0)
+
+
+def test_an_unchanged_absence_counts_from_its_beginning_and_a_changed_one_anew() -> None:
+    """Guards against machines that are never found lost while a controller is gone for good."""
+    proof = proof_for_silent_agent(["a", "b", "c"])
+    proof.observe_inventories({}, 1.0)
+    for second in range(2, 30):
+        proof.observe_inventories({}, float(second), changed_nodes=["d"])
+    assert proof.has_expired("vm", 1, 30.0)
+    proof.observe_inventories({}, 30.0, changed_nodes=["c"])
+    assert not proof.has_expired("vm", 1, 30.0)
