agents: a new machine is not commanded before it has seen a token of this controller

Change: there is no range before the first token. Only the first token of all begins at 0, as before.

--- a/src/sandladder/agents/reconciler.py
+++ b/src/sandladder/agents/reconciler.py
@@ -17,7 +17,7 @@
     TASK_SAVING,
 )
 from sandladder.agents.sent_starts import AttemptKey
-from sandladder.agents.token_range import NO_TOKENS, TokenRange
+from sandladder.agents.token_range import TokenRange
 from sandladder.model import AgentHeartbeat, Attempt, Command, Job
 from sandladder.state import JOB_PREFIX, StateCache
 
@@ -52,14 +52,14 @@
 
     def __init__(self) -> None:
         # The ranges of this controller's tokens, the newest ones.
-        self._token_ranges = deque([NO_TOKENS], maxlen=_MAX_TOKEN_RANGES)
+        self._token_ranges: deque[TokenRange] = deque(maxlen=_MAX_TOKEN_RANGES)
         self.agents: dict[str, AgentSession] = {}  # by machine
         self.repeated_attempts = 0  # number of attempts seen running again after their exit
 
     @property
     def fencing_token(self) -> int:
         """The newest fencing token of this controller; 0 before it acquires one."""
-        return self._token_ranges[-1].last
+        return self._token_ranges[-1].last if self._token_ranges else 0
 
     def adopt_fencing_token(self, token: int) -> None:
         """Adopt a later fencing token; after a gap, another controller acquired one in between.
@@ -69,11 +69,13 @@
         """
         if token <= self.fencing_token:
             return
-        before = self._token_ranges[-1]
-        if token > before.last + 1:
+        if token > self.fencing_token + 1:
             self._token_ranges.append(TokenRange(token, token))
             return
-        extended = self._token_ranges[-1] = TokenRange(before.first, token)
+        # If this is the first token of all, an agent without one has been commanded by nobody.
+        before = self._token_ranges.pop() if self._token_ranges else TokenRange(0, 0)
+        extended = TokenRange(before.first, token)
+        self._token_ranges.append(extended)
         for agent in self.agents.values():
             if agent.accepted_tokens == before:
                 agent.accept_tokens(extended)
--- a/src/sandladder/agents/token_range.py
+++ b/src/sandladder/agents/token_range.py
@@ -16,8 +16,3 @@
     def covers(self, token: int) -> bool:
         """Return whether a token belongs to the range."""
         return self.first <= token <= self.last
-
-
-# No token is acquired yet.  If the first token ever acquired extends it, agents that have seen no
-# token can have been commanded by nobody else.
-NO_TOKENS = TokenRange(0, 0)
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -43,7 +43,11 @@
     reconciler, cache = Reconciler(), cache_with_starts(1)
     reconciler.adopt_fencing_token(5)
     agent = reconciler.receive_heartbeat(heartbeat(1, 0), 0.0, direct=False).agent
+    assert not agent.accepts_token
+    agent.synced = True
     assert reconciler.direct_batch(agent, cache).commands == []
+    assert reconciler.response_batch(agent, cache) == CommandBatch(5, [])
+    agent.synced = False
     reconciler.receive_heartbeat(heartbeat(2, 5), 0.0, direct=False)
     assert reconciler.direct_batch(agent, cache).commands == []
     agent.synced = True
@@ -108,6 +112,20 @@
         assert reconciler.response_batch(agent, cache) == start_command
 
 
+def test_an_agent_without_a_token_accepts_only_the_first_token_of_all_controllers() -> None:
+    """Guards against two controllers that command a new machine under no token."""
+    for first_token in (1, 2):
+        reconciler, cache = Reconciler(), cache_with_starts(1)
+        before = reconciler.receive_heartbeat(heartbeat(1, 0), 0.0, direct=False).agent
+        assert not before.accepts_token
+        reconciler.adopt_fencing_token(first_token)
+        agent = reconciler.receive_heartbeat(heartbeat(2, 0), 0.0, direct=False).agent
+        assert agent.accepts_token == (first_token == 1)
+        agent.synced = agent.accepts_token
+        assert reconciler.direct_batch(agent, cache).token == first_token
+        assert reconciler.response_batch(agent, cache).token == first_token
+
+
 def test_an_agent_that_shows_a_token_acquired_between_two_of_ours_is_read_again() -> None:
     reconciler, cache = Reconciler(), cache_with_starts(1)
     reconciler.adopt_fencing_token(5)
