membership: agents that report are moved only to controllers that joined later

Cause: for balance, an agent that reports is moved only to a controller whose fencing token is at least that of the agent. While tokens were rare, that also kept agents from moving back and forth: they moved towards tokens that were acquired later. A move delays an agent's direct commands by some heartbeats.

Change: such an agent is moved only to a controller with the same or a later incarnation (the token with which its process joined), beside the former condition. Controllers that return have the latest, so they are filled as before; agents that arrive are distributed as before.

--- a/src/sandladder/agents/reconciler.py
+++ b/src/sandladder/agents/reconciler.py
@@ -146,15 +146,10 @@
         The response renews the agent's lease, so it also stops the tasks of cancelled jobs.  That
         is safe even if the agent has not accepted this controller's token.
         """
-        if not (agent.accepts_token and agent.synced):
-            commands = [
-                Command(STOP, *key)
-                for key, task in agent.reported_tasks.items()
-                if task.state != TASK_EXITED and cache.is_cancelled(task.job)
-            ]
-            return CommandBatch(self._response_token(agent), commands)
         token = self._response_token(agent)
-        commands = self._commands_under(token, agent, cache)
+        if not (agent.accepts_token and agent.synced):
+            return CommandBatch(token, _stops_of_cancelled_jobs(agent, cache))
+        commands = _commands_under(token, agent, cache)
         if agent.command_in_flight:
             # The command in flight may carry the same starts.
             commands = [command for command in commands if command.operation == STOP]
@@ -181,26 +176,7 @@
         if tokens is None or not agent.synced:
             return CommandBatch(self.fencing_token, [])
         token = tokens.last if _needs_later_token(agent) else agent.heartbeat.fencing_token
-        return CommandBatch(token, self._commands_under(token, agent, cache))
-
-    def _commands_under(self, token: int, agent: AgentSession, cache: StateCache) -> list[Command]:
-        """Return the commands for an agent that carries them out under a token or not at all."""
-        stops: list[Command] = []
-        starts: list[Command] = []
-        committed: set[AttemptKey] = set()
-        for job, task, attempt in cache.attempts_on(agent.heartbeat.machine):
-            if attempt.agent_epoch != agent.agent_epoch:
-                continue
-            key = (job.id, task, attempt.attempt)
-            committed.add(key)
-            if JOB_PREFIX + job.id in cache.unreadable:
-                continue  # the desired state of the job is unknown
-            command = _command_for(key, agent, stop_grace_s(job, attempt, cache))
-            if command is not None:
-                (starts if command.operation == START else stops).append(command)
-        agent.seen_attempts &= committed | agent.reported_tasks.keys()
-        forgets, uncommitted_stops = _commands_for_uncommitted(token, agent, cache, committed)
-        return forgets + stops + uncommitted_stops + starts
+        return CommandBatch(token, _commands_under(token, agent, cache))
 
 
 def _token_goes_back(agent: AgentSession, heartbeat: AgentHeartbeat) -> bool:
@@ -233,6 +209,35 @@
     )
 
 
+def _stops_of_cancelled_jobs(agent: AgentSession, cache: StateCache) -> list[Command]:
+    """Return the stops of the reported tasks whose jobs are cancelled."""
+    return [
+        Command(STOP, *key)
+        for key, task in agent.reported_tasks.items()
+        if task.state != TASK_EXITED and cache.is_cancelled(task.job)
+    ]
+
+
+def _commands_under(token: int, agent: AgentSession, cache: StateCache) -> list[Command]:
+    """Return the commands for an agent that carries them out under a token or not at all."""
+    stops: list[Command] = []
+    starts: list[Command] = []
+    committed: set[AttemptKey] = set()
+    for job, task, attempt in cache.attempts_on(agent.heartbeat.machine):
+        if attempt.agent_epoch != agent.agent_epoch:
+            continue
+        key = (job.id, task, attempt.attempt)
+        committed.add(key)
+        if JOB_PREFIX + job.id in cache.unreadable:
+            continue  # the desired state of the job is unknown
+        command = _command_for(key, agent, stop_grace_s(job, attempt, cache))
+        if command is not None:
+            (starts if command.operation == START else stops).append(command)
+    agent.seen_attempts &= committed | agent.reported_tasks.keys()
+    forgets, uncommitted_stops = _commands_for_uncommitted(token, agent, cache, committed)
+    return forgets + stops + uncommitted_stops + starts
+
+
 def _commands_for_uncommitted(
     token: int, agent: AgentSession, cache: StateCache, committed: set[AttemptKey]
 ) -> tuple[list[Command], list[Command]]:
--- a/src/sandladder/membership/service.py
+++ b/src/sandladder/membership/service.py
@@ -152,7 +152,8 @@
             own_agents: the number of agents that report to this controller.
             token: this controller's fencing token.
         """
-        loads = {self.node: WorkerLoad(self._zones[self.node], own_agents, token)}
+        incarnation = 0 if self.own is None else self.own.incarnation
+        loads = {self.node: WorkerLoad(self._zones[self.node], own_agents, token, incarnation)}
         for node, assessment in self.policy.assessments.items():
             status = self.detector.status(node)
             member = self._cache.roster.get(node)
@@ -163,7 +164,9 @@
                 and member is not None
                 and member.state == IN
             ):
-                loads[node] = WorkerLoad(self._zones[node], status.agents, status.fencing_token)
+                loads[node] = WorkerLoad(
+                    self._zones[node], status.agents, status.fencing_token, member.incarnation
+                )
         return loads
 
     def agents_report_elsewhere(self) -> bool:
--- a/src/sandladder/membership/worker_assignment.py
+++ b/src/sandladder/membership/worker_assignment.py
@@ -34,6 +34,7 @@
     zone: str
     agents: int  # number of agents that report to it
     fencing_token: int  # an agent that has seen a higher one makes it acquire a new token
+    incarnation: int  # the fencing token with which its process joined
 
 
 class ReportingAgent(NamedTuple):
@@ -87,8 +88,9 @@
         """Return the controller to which an agent should report instead of this one, or None.
 
         Agents that have reported here before are moved only while the cluster is stable, a few at a
-        time, and only to a controller that does not need a new fencing token for them, which would
-        load the store and delay all agents of that controller.  An agent that has been without a
+        time, and only to a controller that joined later and does not need a new fencing token for
+        them, which would load the store.  So they fill controllers that return, and do not move
+        back and forth; each move delays their direct commands.  An agent that has been without a
         controller for long is accepted at once, before its lease expires.
 
         Args:
@@ -142,7 +144,7 @@
             if count + 1 > (_FOREIGN_LOAD_BOUND if foreign else _LOAD_BOUND) * fair_share:
                 continue
             needs_token = load.fencing_token < agent.token
-            if agent.reports_here and needs_token:
+            if agent.reports_here and (needs_token or load.incarnation < own.incarnation):
                 continue
             moves_to_own_zone = outside_zone and not foreign
             if not moves_to_own_zone and not (full and count + margin < own.agents):
--- a/tests/membership/test_worker_assignment.py
+++ b/tests/membership/test_worker_assignment.py
@@ -34,8 +34,8 @@
             reported_loads.append((now, Counter(assigned.values())))
         reported = reported_loads[-2][1] if len(reported_loads) > 1 else reported_loads[-1][1]
         own = Counter(assigned.values())[node]
-        loads = {n: WorkerLoad(zones[n], reported[n], 9) for n in nodes[1:]}
-        loads[node] = WorkerLoad(zones[node], own, 9)
+        loads = {n: WorkerLoad(zones[n], reported[n], 9, 1) for n in nodes[1:]}
+        loads[node] = WorkerLoad(zones[node], own, 9, 1)
         reporting = ReportingAgent(f"vm-{agent}", agent_zones[agent], 1, False, 3.0)
         target = assignments[node].redirect(reporting, loads, now, False)
         if target is None:
@@ -50,7 +50,7 @@
 
 def test_a_long_silent_agent_is_accepted_and_none_is_redirected_twice_in_a_row() -> None:
     assignment = WorkerAssignment("a", REPORT_S, LEASE_S)
-    loads = {"a": WorkerLoad("x", 100, 9), "b": WorkerLoad("y", 10, 9)}
+    loads = {"a": WorkerLoad("x", 100, 9, 2), "b": WorkerLoad("y", 10, 9, 1)}
 
     def redirect(
         machine: str, silent_s: float | None, token: int = 1, now: float = 0.0
@@ -68,7 +68,11 @@
 
 def test_rebalancing_requires_stability_is_gradual_and_needs_no_new_token() -> None:
     assignment = WorkerAssignment("a", REPORT_S, LEASE_S)
-    loads = {"a": WorkerLoad("x", 100, 5), "b": WorkerLoad("x", 0, 3), "c": WorkerLoad("x", 0, 8)}
+    loads = {
+        "a": WorkerLoad("x", 100, 5, 1),
+        "b": WorkerLoad("x", 0, 3, 1),
+        "c": WorkerLoad("x", 0, 8, 1),
+    }
 
     def redirected_to_c(now: float, stable: bool, token: int) -> int:
         agents = (ReportingAgent(f"m{now}-{i}", "x", token, True, 1.0) for i in range(50))
@@ -78,3 +82,15 @@
     assert redirected_to_c(10.0, True, 9) == 0
     assert redirected_to_c(20.0, True, 5) == 4  # a tenth of the fair share of 33
     assert redirected_to_c(20.1 + REPORT_S, True, 5) == 4
+
+
+def test_an_agent_that_reports_is_moved_only_to_a_controller_that_joined_later() -> None:
+    """Guards against agents that move back and forth as each controller acquires later tokens."""
+    for own_incarnation, moved in ((1, True), (2, True), (3, False)):
+        assignment = WorkerAssignment("a", REPORT_S, LEASE_S)
+        loads = {"a": WorkerLoad("x", 100, 5, own_incarnation), "b": WorkerLoad("x", 0, 8, 2)}
+        reporting = ReportingAgent("m1", "x", 5, True, 1.0)
+        assert (assignment.redirect(reporting, loads, 0.0, True) == "b") == moved
+        # One that arrives is sent there regardless.
+        arriving = ReportingAgent("m2", "x", 5, False, 1.0)
+        assert assignment.redirect(arriving, loads, 0.0, True) == "b"
