tests: the replayed heartbeats of an earlier epoch do not depend on which machines are returned

The machines whose responses are lost may be returned as unresponsive before that (traced: both of them were, so no kept heartbeat was of an earlier epoch); it failed without a broken rule after the draws had shifted.

Change: beside them, machines that answer commands and whose heartbeats are lost lose their lease; these are not returned. The rest of the scene and its observations are unchanged.

--- a/tests/test_leaders.py
+++ b/tests/test_leaders.py
@@ -106,8 +106,14 @@
         cluster.kept_heartbeat_share = 0.5
         await anyio.sleep(6.0)
         # Some machines lose their lease; the replayed heartbeats contain their tasks.
-        for worker in random_machines(cluster, 2):
+        unheard = random_machines(cluster, 2)
+        for worker in unheard:
             worker.responses_lost_until = now() + LEASE_S + 2.0
+        # The former may be returned before; these answer, and are not.
+        kept = {heartbeat.machine.name for heartbeat in cluster.kept_heartbeats}
+        for worker in running_machines(cluster):
+            if worker.name in kept and worker not in unheard:
+                worker.heartbeats_lost_until = now() + LEASE_S + 2.0
         await anyio.sleep(LEASE_S + 6.0)
         for _ in range(3):
             cluster.kept_heartbeat_share = 0.3
