--- a/review/4/scene.py
+++ b/review/4/scene.py
@@ -1,4 +1,4 @@
-"""A late answer of the state service brings a cancelled job back into a controller's memory, which then hangs."""
+"""A late answer of the state service brings an old record back into a controller's memory, which then hangs."""
 
 import asyncio
 import sys
@@ -10,14 +10,13 @@
 from deployments import everywhere, rodopis
 
 DEPLOYMENT, KINDS = rodopis()
-SLOW_S = 0.4  # "occasionally a few hundred" milliseconds
+SLOW_S = 0.5  # "occasionally a few hundred" milliseconds
 WAIT_S = 90.0
 OWNER = 0  # the controller to which the team `archivari` is assigned
-MISTAKES = 4
+PIPELINES_UNTIL_S, PIPELINES = 16.0, 8
 
 
 async def scene(world):
-    world.fails = lambda spec: spec["docket"] == "mistake"
     # "at times machines are up within a second or two"
     await world.start(KINDS, everywhere(KINDS, DEPLOYMENT["zones"], 2), boot_factor=0.1)
     await world.until_healthy()
@@ -32,26 +31,26 @@
             raise RuntimeError("the service did not start")
         await asyncio.sleep(0.1)
     watch = world.store.answer_delay = SlowAnswer(world)
-    # Jobs with a mistake: each fails on every machine, until its user cancels it.
-    number = 0
-    for _ in range(MISTAKES):
+    # Pipelines of two jobs: the second awaits the first.
+    number, seconds = 0, []
+    for _ in range(PIPELINES):
+        if watch.restored or w.now() > world.begun_at + PIPELINES_UNTIL_S:
+            break
         number = next(n for n in range(number + 1, 999) if crc32(f"job-{n:06d}".encode()) % 3 != OWNER)
-        spec = w.job(
-            number,
-            bureau="archivari",
-            docket="mistake",
-            rank="prod",
-            breeds=["kos"],
-            form="service",
-            loaners=False,
-        )
-        watch.job_id, watch.failed = spec["id"], asyncio.Event()
-        await world.submit(spec, 1)
-        await asyncio.wait_for(watch.failed.wait(), 10.0)
-        await asyncio.sleep(0.02)
-        if await world.cancel(spec["id"], 1) != "cancelled":
-            raise RuntimeError("the job was not cancelled")
-        await asyncio.sleep(0.6)
+        fields = {"bureau": "archivari", "breeds": ["kos"], "loaners": False, "expect_s": 1.0}
+        first = w.job(number, docket="cteni", **fields)
+        second = w.job(number + 400, docket="parovani", rank="urgent", awaits=[first["id"]], **fields)
+        watch.job_id, watch.ended = first["id"], asyncio.Event()
+        await world.submit(first, 1)
+        await world.submit(second, 1)
+        seconds.append(second["id"])
+        try:
+            await asyncio.wait_for(watch.ended.wait(), 6.0)
+        except asyncio.TimeoutError:
+            if not w.trouble():
+                raise
+            break  # it never started: the controller hangs already
+        await asyncio.sleep(1.0)
     # Sound jobs of the same team, small enough for any machine; nobody else uses the machines.
     sound = [
         w.job(500 + n, bureau="archivari", docket="prepis", breeds=["kos"], loaners=False, expect_s=2.0)
@@ -60,7 +59,7 @@
     for index, spec in enumerate(sound):
         if await world.submit(spec, 1 + index % 2) not in (200, 201):
             raise RuntimeError("a sound job was not accepted")
-    end, left = w.now() + WAIT_S, {spec["id"] for spec in sound}
+    end, left = w.now() + WAIT_S, {spec["id"] for spec in sound} | set(seconds)
     looks = looks_with_room = 0
     while left and w.now() < end:
         await asyncio.sleep(1.0)
@@ -90,12 +89,13 @@
 
 
 class SlowAnswer:
-    """Answers the transaction that records a failed start of the watched job late, by `SLOW_S`."""
+    """Answers the transaction that records the end of the watched job late, by `SLOW_S`."""
 
     def __init__(self, world):
         self._world = world
-        self.job_id, self.failed = "", asyncio.Event()
-        self.changes = {}  # by job, the transactions that would change it
+        self.job_id, self.ended = "", asyncio.Event()
+        self.changes = {}  # by controller and job, the transactions that would change it
+        self.restored = ""  # a job that a controller changes after its record was deleted
 
     async def __call__(self, source, method, path, value):
         if path != "/commit":
@@ -104,21 +104,17 @@
             key, record = change.get("put") or change.get("drop"), change.get("v")
             if key.startswith("s/j/"):
                 self.changes[source, key] = self.changes.get((source, key), 0) + 1
-            if self.failed.is_set():
+                if f"s/f/{key[4:]}" in self._world.store.items and "put" in change:
+                    self.restored = key[4:]
+                    self._world.note(f"{source} would change {key[4:]}, whose record was deleted")
+            if self.ended.is_set():
                 continue
-            if (
-                key == f"s/j/{self.job_id}"
-                and isinstance(record, dict)
-                and record.get("e")
-                and "l" not in record
-            ):
-                self._world.note(
-                    f"state service: carried out the end of a start of {self.job_id} for {source}"
-                )
-                self.failed.set()
+            if key == f"s/j/{self.job_id}" and isinstance(record, list):
+                self._world.note(f"state service: carried out the end of {self.job_id} for {source}")
+                self.ended.set()
                 if w.trouble():
                     await asyncio.sleep(SLOW_S)
                     self._world.note(f"state service: answers {source}, {SLOW_S} s later")
 
 
-w.main(scene, w.World(Path(__file__).parent, DEPLOYMENT, ["tuul", "bogd", "tuul"]))
+w.main(scene, w.World(Path(__file__).parent, DEPLOYMENT, ["slezsko", "morava", "cechy"]))
