A late answer to a commit no longer restores records that were changed since

What callers saw: a controller whose commit was answered late, after it had read that another controller archived the job, put the job's old record back into its cache.

Cause: StateCache.apply_own_commit compared the commit with the version of each key. A deleted key has none, although the cache had read the log past the deletion.

Why it works: the cache holds all changes up to its revision, so an answer up to that revision can only repeat what the log has shown. It is ignored for every key.

--- a/src/sandladder/state/cache/state_cache.py
+++ b/src/sandladder/state/cache/state_cache.py
@@ -121,6 +121,9 @@
     ) -> dict[str, None]:
         """Apply a commit of this controller.
 
+        Its answer may arrive after later reads of the store.  A commit up to `revision` has been
+        applied with the log's changes, or was followed by later ones, and is ignored.
+
         Args:
             revision: the revision of the commit.
             changes: (key, value) of each change; the value None is a deletion.
@@ -132,11 +135,12 @@
             UnknownSchemaVersionError: this program does not support the records.
         """
         changed: dict[str, None] = {}
+        if revision <= self.revision:
+            return changed
         for key, value in changes:
             if revision <= max(self.version(key), self._own_commits.get(key, 0)):
                 continue
-            if revision > self.revision:
-                self._own_commits[key] = revision
+            self._own_commits[key] = revision
             self._set(key, value, 0 if value is None else revision)
             changed[key] = None
         return changed | self._join_split_records()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -318,3 +318,29 @@
     cache.apply(9, [("s/v/0", None, 9)])
     assert cache.apply_own_commit(7, [("s/v/0", {"k": [], "m": []})]) == {}
     assert cache.version("s/v/0") == 0
+
+
+def test_an_answer_after_later_reads_changes_no_record_of_any_kind() -> None:
+    """Guards against records of any key that a late answer restores, also after a full read."""
+    values = {
+        "s/j/job-000001": ["done", 1, 5.0],
+        "s/t/red": {"n": "rung-1", "i": 3},
+        "s/p/rung-0": {"u": 1.0},
+        "s/x/s/v/0/1": {"~": "text"},
+        "s/term": 4,
+    }
+    followed, loaded = StateCache(), StateCache()
+    followed.apply(9, [(key, None, 9) for key in values])
+    loaded.reset(9, [])
+    for cache in (followed, loaded):
+        assert cache.apply_own_commit(7, list(values.items())) == {}
+        assert cache.versions == {} and cache.unarchived == {}
+        assert (cache.fencing_token, cache.unreadable) == (0, set())
+
+
+def test_an_answer_before_the_read_of_its_commit_is_applied() -> None:
+    """The other side of the guard: a commit that the log has not shown yet counts at once."""
+    cache = StateCache()
+    cache.apply(6, [])
+    assert list(cache.apply_own_commit(7, [("s/term", 4)])) == ["s/term"]
+    assert (cache.fencing_token, cache.version("s/term")) == (4, 7)
