A full read no longer keeps the outcome of a job that was archived meanwhile

A dependent of the job would wait forever, as its start is bound to the record before the archiving.

Cause: a full read after the end of the store's log does not include the archive. It removed the record of the ended job, but the dependency index and the cache of finished jobs kept its outcome with the version of that record.

Evidence: the test fails before this change: the outcome at the old version is still returned.

Why it works: when the record of an ended job goes, its outcome goes too, unless an archived one has replaced it. The dependency is then unresolved, and the resolver reads the archive.

--- a/src/sandladder/model/dependencies.py
+++ b/src/sandladder/model/dependencies.py
@@ -73,6 +73,11 @@
             self._cancel_dependents(job_id)
         return True
 
+    def forget_finished(self, job_id: str, final: FinishedJob) -> None:
+        """Drop an outcome whose record no longer exists, unless a later one was recorded."""
+        if self._finished.get(job_id) == final:
+            del self._finished[job_id]
+
     def _set_dependencies(self, job_id: str, before: Iterable[str], after: tuple[str, ...]) -> None:
         for name in before:
             dependents = self._dependents[name]
--- a/src/sandladder/state/cache/job_tables.py
+++ b/src/sandladder/state/cache/job_tables.py
@@ -118,10 +118,22 @@
         is_finished = isinstance(value, list)
         finished = read_finished_job(value, version, archived=False) if is_finished else None
         self._set_live(job_id, None if is_finished else value)
-        self.unarchived.pop(job_id, None)
+        replaced = self.unarchived.pop(job_id, None)
         if finished is not None:
             self.unarchived[job_id] = finished
             self.add_finished_job(job_id, finished)
+        elif replaced is not None:
+            self._forget_outcome(job_id, replaced)
+
+    def _forget_outcome(self, job_id: str, replaced: FinishedJob) -> None:
+        """Drop an outcome whose record was archived; the archived record replaces it when read.
+
+        A full read does not include the archive.  A start that is bound to the version of the
+        former record would conflict forever.
+        """
+        if self.finished_jobs.get(job_id) == replaced:
+            del self.finished_jobs[job_id]
+        self.dependency_index.forget_finished(job_id, replaced)
 
     def _set_live(self, job_id: str, value: Any) -> None:
         """Replace a live job by its new record, or remove it if the value is None."""
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -121,6 +121,25 @@
     assert pending_start.key not in gate.pending
 
 
+def test_an_outcome_that_was_archived_before_a_full_read_is_read_again() -> None:
+    """Guards against a start that conflicts forever, as it is bound to the record before that."""
+    cache = StateCache()
+    use_schema_v2(cache)
+    one = submit_job(cache, 1)
+    dependent = submit_job(cache, 2, one.id, entries=1)
+    complete(cache, one, 20.0)
+    assert cache.finished_job(one.id) == FinishedJob("done", 2, 20.0, cache.revision, False)
+    # The log no longer has the archiving, and a full read does not include the archive.
+    record = job_value(cache.jobs[dependent.id])
+    cache.reset(50, [(f"s/j/{dependent.id}", record, 45)])
+    assert cache.finished_job(one.id) is None
+    assert cache.dependency_index.unresolved() == [one.id]
+    cache.add_finished_job(one.id, FinishedJob("done", 2, 20.0, 48))
+    assert cache.dependency_index.finished_job(one.id) == FinishedJob("done", 2, 20.0, 48)
+    cache.apply(51, [(f"s/j/{one.id}", None, 51)])
+    assert cache.dependency_index.finished_job(one.id) is not None
+
+
 class RandomHistory:
     """Random submissions, cancellations and completions, with a reference model of the outcomes."""
 
