A controller does not become the autoscaler by an answer to a lease that has ended

What callers saw: nothing yet; found by looking for other answers that come after later reads.

Cause: after the commit of its key AutoscalerLease took the version that the cache held then. If the answer came after a read of another controller's key, that was the other one's version.

Evidence: the test fails before this change: the lease counts as held although the key names node-1.

Why it works: a committed change now knows its revision; the lease is held only while the key has exactly this version.

--- a/src/sandladder/autoscaling/autoscaler_lease.py
+++ b/src/sandladder/autoscaling/autoscaler_lease.py
@@ -114,8 +114,11 @@
 
         change = PendingChange("autoscaler lease", PRIORITY_JOB, 1, apply, leased=True)
         await self._committer.add(change).wait()
+        if self._cache.version(AUTOSCALER_KEY) != change.revision:
+            # The answer came after a read of a later change: the lease has expired since.
+            return False
         self._renewal = self._lease_renewal(lease, now)
-        self._key_version = self._cache.version(AUTOSCALER_KEY)
+        self._key_version = change.revision
         self._on_acquired()
         log.info("%s became the autoscaler", self._node)
         return True
--- a/src/sandladder/state/group_commit.py
+++ b/src/sandladder/state/group_commit.py
@@ -242,6 +242,7 @@
             revision, [KeyValue(c.key, c.value) for c in batch.changes]
         )
         for member in batch.members:
+            member.revision = revision
             self._resolve(member)
         self._on_change(changed)
 
--- a/src/sandladder/state/pending_change.py
+++ b/src/sandladder/state/pending_change.py
@@ -49,6 +49,7 @@
             transaction; `cost` applies if absent.
         on_commit: called after the commit, before the cache has the change.
         queued_at: when it was added to the queue, on the steady clock, in seconds.
+        revision: the store's revision of its commit; 0 if it is not committed or needs no commit.
         finished: set once the change is committed, needs no commit, or has failed.
         error: the reason why it failed, if any.
         abandoned: whether the waiter was cancelled, so that the change is not attempted again.
@@ -63,6 +64,7 @@
     added_operations: Callable[[Transaction], int] | None = field(default=None, kw_only=True)
     on_commit: Callable[[], None] | None = field(default=None, kw_only=True)
     queued_at: float = field(default=0.0, init=False)
+    revision: int = field(default=0, init=False)
     finished: anyio.Event = field(default_factory=anyio.Event, init=False)
     error: Exception | None = field(default=None, init=False)
     abandoned: bool = field(default=False, init=False)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -51,6 +51,7 @@
 
     def __init__(self, cache: StateCache) -> None:
         self.cache, self.rejects, self.names = cache, False, []
+        self.on_committed: Callable[[], None] = lambda: None  # called before the answer arrives
 
     def add(self, change: PendingChange) -> "ImmediateCommitter":
         self.change = change
@@ -63,6 +64,8 @@
         transaction = Transaction(self.cache)
         if self.change.apply(transaction):
             commit(self.cache, transaction)
+            self.change.revision = self.cache.revision
+        self.on_committed()
         self.names.append(self.change.name)
 
 
@@ -87,12 +90,13 @@
 
     def __init__(self, status: ControllerStatus = STATUS) -> None:
         self.cache, self.store, self.acquisitions = StateCache(), GrantingStore(), 0
+        self.committer = ImmediateCommitter(self.cache)
         self.lease = AutoscalerLease(
             NODE,
             TTL_S,
             self.cache,
             self.store,
-            ImmediateCommitter(self.cache),
+            self.committer,
             status,
             self._acquired,
         )
@@ -161,6 +165,19 @@
     in_virtual_time(main)
 
 
+def test_a_lease_whose_key_was_replaced_before_the_answer_is_not_acquired() -> None:
+    """Guards against two autoscalers: the answer to the commit came after a read of the other's."""
+
+    async def main() -> None:
+        setup = LeaseScene()
+        setup.committer.on_committed = lambda: setup.write("node-1")
+        assert not await setup.lease.ensure_held()
+        assert not setup.lease.acquired and setup.acquisitions == 0
+        assert setup.cache.autoscaler_node == "node-1"
+
+    in_virtual_time(main)
+
+
 def test_a_controller_without_its_own_lease_does_not_become_the_autoscaler() -> None:
     async def main() -> None:
         setup = LeaseScene(replace(STATUS, lease_alive=lambda: False))
