A change that can never commit no longer holds up the others

Cause: a change that conflicts was kept and evaluated again into the next transaction, together with all others, without end. Nothing noticed that it expected the same refused version as before.

Evidence: the tests with a store that checks versions do not end before this change. They cover a version that is gone or replaced, an absent key that exists, a status 413 and a lease error without a leased change.

Why it works: versions are revisions, so one that the store has refused never comes back. After the conflict the cache is read again; a change that still expects the refused version fails alone, before it is sent, and so does each later one. An absent key may become absent again, so such a change is sent once a second at most after its second conflict. Rejections that name no change are found by sending the next changes one by one, as for those that are too large. A job's change that was refused is evaluated again half a heartbeat interval later instead of at once.

--- a/src/sandladder/jobs/job_committer.py
+++ b/src/sandladder/jobs/job_committer.py
@@ -7,6 +7,8 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping
 
+import anyio
+
 from sandladder import clock
 from sandladder.agents import AgentService
 from sandladder.concurrency import BackgroundTasks, Signal
@@ -90,6 +92,7 @@
         self._background = background
         self._plan_due = plan_due
         self._wall_clock_s = wall_clock_s
+        self._retry_delay_s = workers.report_s / 2
         max_wait_s = workers.lease_s / 3
         self._announcer = EndAnnouncer(
             membership.node, planner.cluster_view, peers, plan_due, max_wait_s, self._enqueue_end
@@ -249,6 +252,8 @@
             await change.wait()
         except PreconditionFailedError as refusal:
             log.error("change refused: %s: %s", change.name, refusal)
+            # An immediate retry on the same records would be refused again, in an endless loop.
+            await anyio.sleep(self._retry_delay_s)
         self._in_flight.discard(job_id)
         released = self._released.pop(job_id, [])
         job = self._cache.jobs.get(job_id)
--- a/src/sandladder/state/batch.py
+++ b/src/sandladder/state/batch.py
@@ -16,6 +16,7 @@
 from sandladder.state.entries import KeyChange
 from sandladder.state.errors import PreconditionFailedError
 from sandladder.state.pending_change import PendingChange
+from sandladder.state.refused_versions import RefusedVersions
 from sandladder.state.store_limits import StoreLimits
 from sandladder.state.transaction import Transaction
 
@@ -64,6 +65,7 @@
         cache: StateCache,
         limits: StoreLimits,
         in_doubt: Mapping[str, int],
+        refused: RefusedVersions,
         resolve: Resolve,
     ) -> None:
         """Create a builder.
@@ -72,16 +74,22 @@
             cache: the records.
             limits: the store's size limits.
             in_doubt: see `Transaction.in_doubt`; read by each `build`.
+            refused: a change that expects one of these versions fails instead of being sent.
             resolve: called with each change that has failed and its error, and with each change
                 that needs no commit and None.
         """
         self._cache = cache
         self._limits = limits
         self._in_doubt = in_doubt
+        self._refused = refused
         self._resolve = resolve
 
     def build(
-        self, queue: Sequence[PendingChange], max_operations: int, max_members: int | None = None
+        self,
+        queue: Sequence[PendingChange],
+        max_operations: int,
+        now: float,
+        max_members: int | None = None,
     ) -> Batch | None:
         """Build a batch in the order of the queue, or return None if no change needs a commit.
 
@@ -89,6 +97,7 @@
             queue: the changes to be evaluated.
             max_operations: the maximum number of puts and deletes.  A single change may exceed it,
                 up to the store's limit.
+            now: the time on the steady clock, in seconds.
             max_members: the maximum number of changes to take, at least 1; None: no limit.
         """
         transaction = Transaction(self._cache, self._limits.value_bytes, self._in_doubt)
@@ -98,7 +107,7 @@
                 break
             if members and transaction.size + change.added_to(transaction) > max_operations:
                 break
-            trial = self._evaluate(change, transaction)
+            trial = self._evaluate(change, transaction, now)
             if trial is None:
                 continue
             if trial.size > max_operations or trial.conditions > self._limits.conditions:
@@ -116,7 +125,9 @@
             members.append(change)
         return Batch(transaction, members) if members else None
 
-    def _evaluate(self, change: PendingChange, transaction: Transaction) -> "_Trial | None":
+    def _evaluate(
+        self, change: PendingChange, transaction: Transaction, now: float
+    ) -> "_Trial | None":
         """Return the transaction with a change added, or resolve the change and return None."""
         trial = transaction.copy()
         try:
@@ -133,6 +144,17 @@
         if not is_needed:
             self._resolve(change, None)
             return None
+        outdated = self._refused.refused_key(trial.expected_versions, now)
+        if outdated is not None:
+            # Sent again, it would conflict again and hold up all changes of the same transaction.
+            log.warning(
+                "change %s is not sent: the store has refused version %d of %s",
+                change.name,
+                trial.expected_versions[outdated],
+                outdated,
+            )
+            self._resolve(change, PreconditionFailedError(f"an outdated version of {outdated}"))
+            return None
         return _Trial(trial, size)
 
 
--- a/src/sandladder/state/group_commit.py
+++ b/src/sandladder/state/group_commit.py
@@ -11,6 +11,7 @@
 from sandladder import clock
 from sandladder.concurrency import Signal
 from sandladder.config import MIN_TXN_OPS
+from sandladder.errors import SandladderError
 from sandladder.protocol import codec
 from sandladder.state.batch import Batch, BatchBuilder
 from sandladder.state.cache import StateCache
@@ -34,6 +35,7 @@
     Priority,
     fair_order,
 )
+from sandladder.state.refused_versions import RefusedVersions
 from sandladder.state.store_client import StoreClient
 from sandladder.state.store_limits import StoreLimits
 from sandladder.state.transaction import fence_assignment
@@ -105,7 +107,8 @@
         # Team records that a transaction of unknown outcome expected and did not change, by key,
         # with the expected version.
         self._in_doubt: dict[str, int] = {}
-        self._builder = BatchBuilder(cache, limits, self._in_doubt, self._resolve)
+        self._refused = RefusedVersions()
+        self._builder = BatchBuilder(cache, limits, self._in_doubt, self._refused, self._resolve)
         self._share = 1.0  # of a full transaction; reduced by conflicts
         self._one_by_one = False  # one change a transaction, to find the one that the store rejects
         self._shrunk_at = float("-inf")  # when a rejection last reduced the limits
@@ -203,12 +206,11 @@
         """
         affordable = _MAX_TRANSACTION_S * self._store.limits.write_rps * self._store.writes.share
         max_operations = max(MIN_TXN_OPS, int(min(self._limits.txn_ops * self._share, affordable)))
-        queue = fair_order(
-            self._queue, max_priority, max_operations, clock.now() - self._max_wait_s
-        )
+        now = clock.now()
+        queue = fair_order(self._queue, max_priority, max_operations, now - self._max_wait_s)
         if self._one_by_one:
             max_members = 1
-        return self._builder.build(queue, max_operations, max_members)
+        return self._builder.build(queue, max_operations, now, max_members)
 
     async def _send(self, batch: Batch) -> None:
         try:
@@ -236,6 +238,7 @@
                 member.on_commit()
         self._share = min(1.0, self._share * _SHARE_INCREASE)
         self._one_by_one = False
+        self._refused.record_commit(batch.transaction.expected_versions)
         for change in batch.changes:
             self._in_doubt.pop(change.key, None)
         changed = self._cache.apply_own_commit(
@@ -247,9 +250,16 @@
         self._on_change(changed)
 
     async def _on_conflict(self, batch: Batch, conflict: ConflictError) -> None:
-        """Update the cache and wait a random time, so that controllers do not collide again."""
+        """Update the cache and wait a random time, so that controllers do not collide again.
+
+        A change that expects a refused version even on the updated cache fails when it is evaluated
+        next, so that the others are committed.
+        """
         self.rejected += 1
         self.conflicting_keys.update(key_kind(key) for key in conflict.failed)
+        self._refused.record_conflict(
+            batch.transaction.expected_versions, conflict.failed, clock.now()
+        )
         log.debug("transaction of %s conflicts on %s", batch.names, conflict)
         for member in batch.members:
             if member.settled_by_key in conflict.failed:
@@ -289,18 +299,24 @@
                 await self._watch.barrier()
 
     def _on_lease_expired(self, batch: Batch, error: LeaseExpiredError) -> None:
-        for member in batch.members:
-            if member.leased:
-                self._resolve(member, LeaseExpiredError(error.lease))
+        leased = [member for member in batch.members if member.leased]
+        for member in leased:
+            self._resolve(member, LeaseExpiredError(error.lease))
+        if not leased:
+            self._isolate(batch, error)
+
+    def _isolate(self, batch: Batch, error: SandladderError) -> None:
+        """Fail the change that the store rejects, or send the next ones one by one to find it."""
+        if len(batch.members) == 1:
+            self._resolve(batch.members[0], PreconditionFailedError(str(error)))
+        self._one_by_one = True
 
     def _on_too_large(self, batch: Batch, error: TransactionTooLargeError) -> None:
         """Reduce the limits so that the transaction is not retried unchanged."""
         log.warning("the store rejected a transaction of %s: %s", batch.names, error)
         self._shrunk_at = clock.now()
         if not self._limits.shrink(len(batch.changes), batch.largest_value_bytes):
-            if len(batch.members) == 1:
-                self._resolve(batch.members[0], PreconditionFailedError(str(error)))
-            self._one_by_one = True
+            self._isolate(batch, error)
 
 
 def _is_too_long(batch: Batch) -> bool:
--- a/src/sandladder/state/store_client.py
+++ b/src/sandladder/state/store_client.py
@@ -18,7 +18,7 @@
 from sandladder.state.token_bucket import AdaptiveTokenBucket
 from sandladder.transport import HttpError, HttpRequester, Response
 
-_OK, _BAD_REQUEST, _NOT_FOUND, _CONFLICT, _GONE = 200, 400, 404, 409, 410
+_OK, _BAD_REQUEST, _NOT_FOUND, _CONFLICT, _GONE, _BODY_TOO_LARGE = 200, 400, 404, 409, 410, 413
 _RATE_LIMITED, _SERVER_ERROR, _UNAVAILABLE = 429, 500, 503
 # The store's error for a transaction that names an unknown lease.
 _NO_SUCH_LEASE = "no such lease"
@@ -136,6 +136,8 @@
             if reason == _NO_SUCH_LEASE:
                 raise LeaseExpiredError
             raise TransactionTooLargeError(reason)
+        if answer.status == _BODY_TOO_LARGE:
+            raise TransactionTooLargeError(f"status {answer.status}")
         self.writes.on_allowed()
         return store_messages.parse_revision(_ok_body(answer))
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -344,3 +344,94 @@
     cache.apply(6, [])
     assert list(cache.apply_own_commit(7, [("s/term", 4)])) == ["s/term"]
     assert (cache.fencing_token, cache.version("s/term")) == (4, 7)
+
+
+class VersionedStore:
+    """A store that checks the expected versions; a map of keys to their versions."""
+
+    def __init__(self, **versions: int) -> None:
+        self.versions = {f"s/p/{name}": version for name, version in versions.items()}
+        self.conflicts = 0
+
+    async def request(self, method: str, target: str, body: bytes, **__: Any) -> Response:
+        transaction = loads(body)
+        failed = [
+            guard["key"]
+            for guard in transaction["guards"]
+            if self.versions.get(guard["key"], 0) != guard["edition"]
+        ]
+        if failed:
+            self.conflicts += 1
+            return Response(409, dumps({"failed": failed, "ledger": 9}))
+        self.versions |= {change["put"]: 10 for change in transaction["apply"]}
+        return Response(200, dumps({"ledger": 10}))
+
+    async def aclose(self) -> None:
+        pass
+
+
+@pytest.mark.parametrize(("expected", "current"), [(7, None), (7, 9), (0, 9)])
+def test_a_change_that_conflicts_forever_does_not_hold_up_others(
+    expected: int, current: int | None
+) -> None:
+    """Guards against a controller that commits nothing, as one change makes each batch conflict."""
+
+    def apply(transaction: Transaction) -> bool:
+        transaction.put("s/p/stuck", {}, expected)
+        return True
+
+    async def main() -> None:
+        store = VersionedStore() if current is None else VersionedStore(stuck=current)
+        committer = make_committer(store)  # type: ignore[arg-type]
+        stuck = PendingChange("stuck", PRIORITY_REQUEST, 1, apply)
+        others = put_requests(12, 0)
+        await run_until_resolved(committer, [stuck, *others])
+        assert isinstance(stuck.error, PreconditionFailedError)
+        assert [change.error for change in others] == [None] * 12
+        # A requester that tries again costs no further transaction.
+        conflicts, again = store.conflicts, PendingChange("again", PRIORITY_REQUEST, 1, apply)
+        await run_until_resolved(committer, [again])
+        assert (
+            isinstance(again.error, PreconditionFailedError) and store.conflicts == conflicts <= 2
+        )
+
+    anyio.run(main)
+
+
+def test_a_change_is_sent_again_once_its_key_is_absent_as_expected() -> None:
+    """The other side of the guard: a key that was deleted since the conflict may be created."""
+
+    async def main() -> None:
+        store = VersionedStore(leased=9)
+        committer = make_committer(store)  # type: ignore[arg-type]
+        change = PendingChange("leased", PRIORITY_REQUEST, 1, put("s/p/leased"))
+        async with anyio.create_task_group() as tasks:
+            committer.add(change)
+            tasks.start_soon(committer.run)
+            while not store.conflicts:
+                await anyio.sleep(0)
+            del store.versions["s/p/leased"]
+            await change.finished.wait()
+            tasks.cancel_scope.cancel()
+        assert change.error is None and change.revision == 10
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "refusal", [Response(413), Response(400, dumps({"error": "no such lease"}))]
+)
+def test_a_change_that_the_store_always_rejects_does_not_hold_up_others(refusal: Response) -> None:
+    """Guards against the same for rejections that name no key and no leased change."""
+
+    class RejectingStore(VersionedStore):
+        async def request(self, method: str, target: str, body: bytes, **__: Any) -> Response:
+            if any(change.get("put") == "s/p/stuck" for change in loads(body)["apply"]):
+                return refusal
+            return await super().request(method, target, body)
+
+    stuck = PendingChange("stuck", PRIORITY_REQUEST, 1, put("s/p/stuck"))
+    others = put_requests(3, 0)
+    commit_all([stuck, *others], RejectingStore())  # type: ignore[arg-type]
+    assert isinstance(stuck.error, PreconditionFailedError)
+    assert [change.error for change in others] == [None] * 3
