Messages to and from an agent fit 64 KiB, however many tasks a machine has

The agent's heartbeats of 113,000 bytes were rejected (413), its lease expired, all tasks on the machine were killed, those of other teams too, and the same began on the next machine.

Cause: placements counted cores, GPUs and memory only, and commands were sent without regard to the length of the message or of the heartbeat that follows from it.

The reconciler sends a start only if the heartbeat has room for it beside the listed tasks, ended ones included, and the starts that may still arrive. Three quarters of the room (371 tasks) is a fourth resource of placements, reservations, preemption and scale-out; the rest is for tasks that ended and are not forgotten. Tiny tasks occupy a share of a machine's cores when the autoscaler estimates the backlog. Tasks that records of an earlier version put on a machine beyond its room are evicted, at most 32 a round.

The simulation and the soak record each message that is too long, and answer it with 413.

--- a/src/sandladder/agents/reconciler.py
+++ b/src/sandladder/agents/reconciler.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sandladder.agents.agent_session import AgentSession
+from sandladder.agents.command_limits import limited_commands
 from sandladder.agents.constants import (
     FORGET,
     START,
@@ -211,11 +212,12 @@
 
 def _stops_of_cancelled_jobs(agent: AgentSession, cache: StateCache) -> list[Command]:
     """Return the stops of the reported tasks whose jobs are cancelled."""
-    return [
+    stops = [
         Command(STOP, *key)
         for key, task in agent.reported_tasks.items()
         if task.state != TASK_EXITED and cache.is_cancelled(task.job)
     ]
+    return limited_commands(agent, [], stops, [])
 
 
 def _commands_under(token: int, agent: AgentSession, cache: StateCache) -> list[Command]:
@@ -235,7 +237,7 @@
             (starts if command.operation == START else stops).append(command)
     agent.seen_attempts &= committed | agent.reported_tasks.keys()
     forgets, uncommitted_stops = _commands_for_uncommitted(token, agent, cache, committed)
-    return forgets + stops + uncommitted_stops + starts
+    return limited_commands(agent, forgets, stops + uncommitted_stops, starts)
 
 
 def _commands_for_uncommitted(
--- a/src/sandladder/agents/sent_starts.py
+++ b/src/sandladder/agents/sent_starts.py
@@ -8,7 +8,7 @@
 Performs no I/O and reads no clock.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Container, Iterable
 
 from sandladder.agents.constants import START
 from sandladder.model import Command
@@ -35,6 +35,15 @@
         """Return the latest token under which a start of an attempt may arrive; 0 if none may."""
         return max(self._direct.get(attempt, 0), self._in_response.get(attempt, 0))
 
+    def unreported(self, reported: Container[AttemptKey]) -> set[AttemptKey]:
+        """Return the attempts whose start may still arrive and that the agent does not list."""
+        return {
+            attempt
+            for starts in (self._direct, self._in_response)
+            for attempt in starts
+            if attempt not in reported
+        }
+
     def rule_out_before(self, token: int) -> None:
         """Drop the starts under tokens before the highest one that the agent has seen."""
         for starts in (self._direct, self._in_response):
--- a/src/sandladder/autoscaling/provisioned_capacity.py
+++ b/src/sandladder/autoscaling/provisioned_capacity.py
@@ -56,6 +56,7 @@
     machine_type = cluster_view.cache.machine_types[capacity.type]
     free = Bin(machine_type, capacity.zone, capacity.spot)
     free.cpus, free.gpus, free.memory_gb = capacity.cpus, capacity.gpus, capacity.memory_gb
+    free.tasks = capacity.tasks
     return free
 
 
--- a/src/sandladder/autoscaling/scale_out.py
+++ b/src/sandladder/autoscaling/scale_out.py
@@ -6,7 +6,7 @@
 
 from sandladder.autoscaling.offers import Offer, RefusedOffers, ScaleOutRequest, hourly_price
 from sandladder.model import EPSILON, SERVICE, MachineType
-from sandladder.scheduling import Bin, ClusterView, Shortage, pack
+from sandladder.scheduling import MAX_TASKS_PER_MACHINE, Bin, ClusterView, Shortage, pack
 
 # The instances for a long backlog are chosen in about this number of chunks.  Choosing hundreds of
 # them one by one took a sixth of the autoscaler's processor time.
@@ -138,16 +138,18 @@
     # Services run indefinitely and other work ends, so a machine takes only one of the two.
     for_services = shortages[0].spec.kind == SERVICE
     cpus, memory_gb, used = machine_type.cpus, machine_type.memory_gb, 0.0
+    tasks = MAX_TASKS_PER_MACHINE
     for position, shortage in enumerate(shortages):
         spec = shortage.spec
         if (spec.kind == SERVICE) != for_services:
             continue
         max_tasks = count if position == 0 else shortage.tasks
-        number = min(max_tasks, int((cpus + EPSILON) / spec.cpus))
+        number = min(max_tasks, tasks, int((cpus + EPSILON) / spec.cpus))
         if spec.memory_gb > 0:
             number = min(number, int((memory_gb + EPSILON) / spec.memory_gb))
         cpus -= number * spec.cpus
         memory_gb -= number * spec.memory_gb
+        tasks -= number
         used += number * spec.cpus
         if cpus < EPSILON:
             break
--- a/src/sandladder/autoscaling/waiting_work.py
+++ b/src/sandladder/autoscaling/waiting_work.py
@@ -4,11 +4,19 @@
 from typing import NamedTuple
 
 from sandladder.autoscaling.demand import CoreDemand
+from sandladder.autoscaling.offers import fitting_types
 from sandladder.autoscaling.scaling_inputs import ScalingInputs
 from sandladder.autoscaling.zone_choice import single_zone_quota
-from sandladder.model import DRAINING, HIGH, PRODUCTION, SERVICE, Job, TeamUsage
+from sandladder.model import DRAINING, HIGH, PRODUCTION, SERVICE, Job, JobSpec, TeamUsage
 from sandladder.model import headroom as quota_headroom
-from sandladder.scheduling import Backlog, Shortage, ZoneQuota, pack, placement_requirements
+from sandladder.scheduling import (
+    MAX_TASKS_PER_MACHINE,
+    Backlog,
+    Shortage,
+    ZoneQuota,
+    pack,
+    placement_requirements,
+)
 
 # Spot instances are requested when the expected delay exceeds this share of the allowed delay.
 _EARLY_REQUEST_SHARE = 0.1
@@ -28,6 +36,7 @@
 
     job: Job
     tasks: int
+    cores_per_task: float
     can_wait_for_boot: bool
     zones: ZoneQuota | None  # None if any zone is allowed
 
@@ -54,7 +63,8 @@
         if spec.kind != SERVICE:
             demand.add(waiting.tasks * spec.cpus, waiting.can_wait_for_boot)
         missing = _pack_waiting(inputs, waiting, exhausted)
-        backlog.add(spec, waiting.tasks, spec.estimate_s or inputs.lease_s)
+        cores, gpus = waiting.tasks * waiting.cores_per_task, waiting.tasks * spec.gpus
+        backlog.add(cores, gpus, spec.estimate_s or inputs.lease_s)
         if missing:
             shortages += _job_shortages(inputs, waiting, missing, backlog)
     return WaitingWork(shortages, demand)
@@ -70,7 +80,18 @@
     zones = ZoneQuota.for_job(job)
     if spec.one_zone and zones is None and count:
         zones = single_zone_quota(inputs, spec, count)
-    return _WaitingJob(job, count, cluster_view.can_wait_for_boot(job), zones)
+    can_wait_for_boot = cluster_view.can_wait_for_boot(job)
+    return _WaitingJob(job, count, _cores_per_task(inputs, spec), can_wait_for_boot, zones)
+
+
+def _cores_per_task(inputs: ScalingInputs, spec: JobSpec) -> float:
+    """Return the cores that a task of a job occupies.
+
+    The number of tasks on a machine is limited, so very small tasks occupy a share of its cores.
+    """
+    types = fitting_types(spec, inputs.cluster_view.cache.machine_types.values())
+    most_cores = max((machine_type.cpus for machine_type in types), default=0.0)
+    return max(spec.cpus, most_cores / MAX_TASKS_PER_MACHINE)
 
 
 def _pack_waiting(
@@ -111,7 +132,8 @@
     if spec.gpus > 0:
         work, need_per_task, provisioned = backlog.gpu_s, spec.gpus, inputs.provisioned.gpus
     else:
-        work, need_per_task, provisioned = backlog.core_s, spec.cpus, inputs.provisioned.cores
+        work, need_per_task = backlog.core_s, waiting.cores_per_task
+        provisioned = inputs.provisioned.cores
     capacity = provisioned.spot if spec.spot else 0.0
     if not waiting.can_wait_for_boot:
         capacity += provisioned.on_demand
--- a/src/sandladder/controller/planning_loop.py
+++ b/src/sandladder/controller/planning_loop.py
@@ -122,9 +122,9 @@
         can_write_soon = self._committer.write_delay_s <= self._report_s * _MAX_WRITE_DELAY_SHARE
         min_priority = LOW if can_write_soon else HIGH
         self._job_committer.commit_starts(self._planner.plan(jobs, backing_off, min_priority))
-        victims = self._preemption.preempt(jobs, backing_off) + self._preemption.graceful_evictions(
-            jobs
-        )
+        victims = self._preemption.preempt(jobs, backing_off)
+        victims += self._preemption.graceful_evictions(jobs)
+        victims += self._preemption.excess_evictions(jobs)
         for victim in victims:
             self._commit_stop(victim)
 
--- a/src/sandladder/protocol/codec.py
+++ b/src/sandladder/protocol/codec.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import cbor2
+import msgspec
 
 from sandladder.errors import SandladderError
 
@@ -38,6 +39,11 @@
     return cbor2.dumps(value)
 
 
+def counted_bytes(value: Any) -> int:
+    """Return the length of a body as the protocol's size limits count it: that of its JSON form."""
+    return len(msgspec.json.encode(value))
+
+
 def loads(body: bytes) -> Any:
     """Decode a body.
 
--- a/src/sandladder/protocol/job_messages.py
+++ b/src/sandladder/protocol/job_messages.py
@@ -29,6 +29,7 @@
 _PRIORITIES = {"prod": 3, "urgent": 2, "normal": 1, "idle": 0}
 _STATES = {PENDING: "pending", RUNNING: "running", DONE: "done", CANCELLED: "cancelled"}
 _JOB_ID = re.compile(r"job-[0-9]{6,18}", re.ASCII)
+LONGEST_JOB_ID = "job-" + 18 * "9"
 
 
 class Submission(NamedTuple):
--- a/src/sandladder/scheduling/__init__.py
+++ b/src/sandladder/scheduling/__init__.py
@@ -13,6 +13,7 @@
 from sandladder.scheduling.bin_packing import Backlog, Bin, Shortage, ZoneQuota, pack
 from sandladder.scheduling.cluster_view import ClusterView
 from sandladder.scheduling.free_capacity import (
+    MAX_TASKS_PER_MACHINE,
     FreeCapacity,
     MachineOffer,
     PlacementRequirements,
@@ -30,6 +31,7 @@
 from sandladder.scheduling.victim_selection import PreemptionVictim, WaitingTask
 
 __all__ = [
+    "MAX_TASKS_PER_MACHINE",
     "UNHEALTHY_FAILURES",
     "Backlog",
     "Bin",
--- a/src/sandladder/scheduling/bin_packing.py
+++ b/src/sandladder/scheduling/bin_packing.py
@@ -4,19 +4,25 @@
 from typing import NamedTuple
 
 from sandladder.model import EPSILON, Job, JobSpec, MachineType
-from sandladder.scheduling.free_capacity import MachineOffer, machine_allowed, machine_offer
+from sandladder.scheduling.free_capacity import (
+    MAX_TASKS_PER_MACHINE,
+    MachineOffer,
+    machine_allowed,
+    machine_offer,
+)
 
 
 class Bin:
     """The free capacity of a machine that runs, boots, or would be rented."""
 
-    __slots__ = ("cpus", "gpus", "kind", "memory_gb", "offer")
+    __slots__ = ("cpus", "gpus", "kind", "memory_gb", "offer", "tasks")
 
     def __init__(self, kind: MachineType, zone: str, spot: bool) -> None:
         """Create the bin of an empty machine."""
         self.kind = kind
         self.offer = machine_offer(kind.name, zone, spot)
         self.cpus, self.gpus, self.memory_gb = kind.cpus, kind.gpus, kind.memory_gb
+        self.tasks = MAX_TASKS_PER_MACHINE
 
     def tasks_that_fit(self, spec: JobSpec, limit: int, keep_gpus: bool = False) -> int:
         """Return how many tasks of a job fit.
@@ -31,7 +37,7 @@
             share = self.gpus / self.kind.gpus
             cpus -= share * self.kind.cpus
             memory_gb -= share * self.kind.memory_gb
-        count = min(limit, int((cpus + EPSILON) / spec.cpus))
+        count = min(limit, self.tasks, int((cpus + EPSILON) / spec.cpus))
         if spec.gpus > 0:
             count = min(count, int((self.gpus + EPSILON) / spec.gpus))
         if spec.memory_gb > 0:
@@ -45,6 +51,7 @@
             self.cpus -= count * spec.cpus
             self.gpus -= count * spec.gpus
             self.memory_gb -= count * spec.memory_gb
+            self.tasks -= count
         return count
 
 
@@ -100,10 +107,10 @@
         self.core_s = 0.0
         self.gpu_s = 0.0
 
-    def add(self, spec: JobSpec, tasks: int, seconds: float) -> None:
-        """Add a number of a job's tasks that take `seconds` each."""
-        self.core_s += tasks * spec.cpus * seconds
-        self.gpu_s += tasks * spec.gpus * seconds
+    def add(self, cores: float, gpus: float, seconds: float) -> None:
+        """Add tasks that take `seconds` each and together occupy these cores and GPUs."""
+        self.core_s += cores * seconds
+        self.gpu_s += gpus * seconds
 
 
 def pack(
--- a/src/sandladder/scheduling/free_capacity.py
+++ b/src/sandladder/scheduling/free_capacity.py
@@ -4,6 +4,13 @@
 from typing import NamedTuple
 
 from sandladder.model import EPSILON, JobSpec, Machine, MachineType
+from sandladder.protocol.agent_limits import MAX_LISTED_TASKS
+
+# The share of the tasks in a machine's heartbeat that may be live.  The others are for tasks that
+# have exited, which are listed until the agent is told to forget them.
+_LIVE_TASKS_SHARE = 0.75
+# The maximum number of live tasks on a machine of any type.
+MAX_TASKS_PER_MACHINE = int(_LIVE_TASKS_SHARE * MAX_LISTED_TASKS)
 
 
 class FreeCapacity(NamedTuple):
@@ -18,11 +25,12 @@
     cpus: float
     gpus: float
     memory_gb: float
+    tasks: int  # how many more tasks its heartbeat can list
     usable: bool  # its agent reports, it is healthy, and it is not about to leave
 
     def can_take(self, spec: JobSpec) -> bool:
         """Return whether one more task of a job fits on the machine."""
-        return fits(spec, self.cpus, self.gpus, self.memory_gb)
+        return fits(spec, self.cpus, self.gpus, self.memory_gb, self.tasks)
 
     def minus(self, spec: JobSpec) -> "FreeCapacity":
         """Return the free capacity after one more task of a job is placed."""
@@ -30,6 +38,7 @@
             cpus=self.cpus - spec.cpus,
             gpus=self.gpus - spec.gpus,
             memory_gb=self.memory_gb - spec.memory_gb,
+            tasks=self.tasks - 1,
         )
 
     def without_gpu_share(self, kind: MachineType) -> "FreeCapacity":
@@ -94,18 +103,19 @@
     )
 
 
-def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> bool:
-    """Return whether a task of a job fits into the given resources."""
+def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, tasks: int) -> bool:
+    """Return whether a task of a job fits into the given resources and number of tasks."""
     return (
-        spec.cpus <= cpus + EPSILON
+        tasks >= 1
+        and spec.cpus <= cpus + EPSILON
         and spec.gpus <= gpus + EPSILON
         and spec.memory_gb <= memory_gb + EPSILON
     )
 
 
-def count_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
-    """Return how many tasks of a job fit into the given resources."""
+def count_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, tasks: int) -> int:
+    """Return how many tasks of a job fit into the given resources and number of tasks."""
     count = min(cpus / spec.cpus, memory_gb / max(spec.memory_gb, 1e-9))
     if spec.gpus > 0:
         count = min(count, gpus / spec.gpus)
-    return int(count + EPSILON)
+    return min(tasks, int(count + EPSILON))
--- a/src/sandladder/scheduling/free_capacity_index.py
+++ b/src/sandladder/scheduling/free_capacity_index.py
@@ -4,7 +4,7 @@
 from collections.abc import Container
 
 from sandladder.model import DRAINING, EPSILON, GONE, SERVICE, EndedAttempt, MachineType
-from sandladder.scheduling.free_capacity import FreeCapacity
+from sandladder.scheduling.free_capacity import MAX_TASKS_PER_MACHINE, FreeCapacity
 from sandladder.scheduling.gate import Gate
 from sandladder.scheduling.machine_observations import MachineObservation, MachineObservations
 from sandladder.scheduling.view_time import ViewTime
@@ -34,8 +34,8 @@
         self._gate = gate
         self._observations = observations
         self._time = time
-        # The free cores, GPUs and memory of machines.
-        self._resources: dict[str, tuple[float, float, float]] = {}
+        # The free cores, GPUs and memory of machines, and how many more tasks they may have.
+        self._resources: dict[str, tuple[float, float, float, int]] = {}
         self._service_cpus: dict[str, float] = {}
         # Free capacities, and the time on the steady clock up to which each is valid.
         self._cached: dict[str, tuple[FreeCapacity, float]] = {}
@@ -62,7 +62,7 @@
         resources = self._resources.get(machine)
         if resources is None:
             resources = self._resources[machine] = self._free_resources(machine, kind)
-        cpus, gpus, memory_gb = resources
+        cpus, gpus, memory_gb, tasks = resources
         usable, valid_until = self._usable(machine, observation)
         capacity = FreeCapacity(
             machine,
@@ -74,6 +74,7 @@
             cpus,
             gpus,
             memory_gb,
+            tasks,
             usable,
         )
         self._cached[machine] = capacity, valid_until
@@ -110,11 +111,15 @@
             for job, task, attempt in self._cache.attempts_on(machine)
         )
 
-    def _free_resources(self, machine: str, kind: MachineType) -> tuple[float, float, float]:
-        """Return the cores, GPUs and memory that committed and pending starts leave free."""
-        cpus, gpus, memory_gb = kind.cpus, kind.gpus, kind.memory_gb
+    def _free_resources(self, machine: str, kind: MachineType) -> tuple[float, float, float, int]:
+        """Return the cores, GPUs, memory and tasks that committed and pending starts leave free.
+
+        An attempt with a proved end counts as a task until that is committed: its agent lists it.
+        """
+        cpus, gpus, memory_gb, tasks = kind.cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE
         ended = self.ended.get(machine, ())
         for job, task, attempt in self._cache.attempts_on(machine):
+            tasks -= 1
             if (job.id, task, attempt.attempt) in ended:
                 continue
             cpus -= job.spec.cpus
@@ -124,7 +129,8 @@
             cpus -= pending_start.spec.cpus
             gpus -= pending_start.spec.gpus
             memory_gb -= pending_start.spec.memory_gb
-        return cpus, gpus, memory_gb
+            tasks -= 1
+        return cpus, gpus, memory_gb, tasks
 
     def accepts_work(self, machine: str) -> bool:
         """Return whether a machine could be given work, regardless of its instance's record."""
--- a/src/sandladder/scheduling/machine_selection.py
+++ b/src/sandladder/scheduling/machine_selection.py
@@ -211,7 +211,9 @@
     """Return the machines of the job's zone, or else of the zone that can take most tasks."""
     tasks_by_zone: Counter[str] = Counter()
     for capacity in machines:
-        tasks = count_fitting(spec, capacity.cpus, capacity.gpus, capacity.memory_gb)
+        tasks = count_fitting(
+            spec, capacity.cpus, capacity.gpus, capacity.memory_gb, capacity.tasks
+        )
         tasks_by_zone[capacity.zone] += tasks
     if not tasks_by_zone:
         return []
--- a/src/sandladder/scheduling/preemption.py
+++ b/src/sandladder/scheduling/preemption.py
@@ -1,24 +1,30 @@
 """Choice of running tasks to stop, by preemption or by graceful eviction.
 
 Lower-priority tasks are preempted for jobs that must start before a machine could boot; service
-replicas are evicted from machines that are about to leave.  Pure: no I/O, no clock.
+replicas are evicted from machines that are about to leave, and tasks from machines that have too
+many.  Pure: no I/O, no clock.
 """
 
 from collections.abc import Iterable, Iterator
+from itertools import islice
 
 from sandladder.model import GANG, NO_USAGE, PRODUCTION, SERVICE, Job
 from sandladder.scheduling.cluster_view import ClusterView
 from sandladder.scheduling.free_capacity import FreeCapacity, machine_allowed
 from sandladder.scheduling.machine_observations import MachineDeparture
 from sandladder.scheduling.machine_selection import MachineSelector
+from sandladder.scheduling.overfull_machines import excess_attempts
 from sandladder.scheduling.victim_selection import (
     GRACE_SAVE_TIME_FACTOR,
+    MachineExcess,
     PreemptionVictim,
     VictimSelector,
 )
 
 # A claim expires after this time unless a stop for it still waits for its commit.
 _CLAIM_HEARTBEAT_INTERVALS = 2
+# The tasks evicted in a round from machines that have too many: each stop is a change to write.
+_MAX_EXCESS_EVICTIONS = 32
 
 
 class PreemptionPolicy:
@@ -72,9 +78,7 @@
                 )
                 if task_victims is None:
                     break
-                self._claims[job.id, task] = (
-                    cluster_view.now + _CLAIM_HEARTBEAT_INTERVALS * self._report_s
-                )
+                self._claim(job.id, task)
                 chosen.update((victim.job, victim.task) for victim in task_victims)
                 self._stopping.update(
                     {(victim.job, victim.task): victim for victim in task_victims}
@@ -118,7 +122,31 @@
             if key not in self._claims and key not in cluster_view.gate.pending:
                 yield task
 
-    # Graceful eviction
+    # Eviction
+
+    def excess_evictions(self, owned: Iterable[Job]) -> list[PreemptionVictim]:
+        """Return tasks to evict from machines whose heartbeats cannot list all of their tasks."""
+        job_ids = {job.id for job in owned if not job.cancelled}
+        excess = (
+            (job, task, attempt)
+            for job, task, attempt in excess_attempts(self._cluster_view.cache)
+            if job.id in job_ids
+            and attempt.stop_grace_s is None
+            and (job.id, task) not in self._claims
+        )
+        evictions = []
+        for job, task, attempt in islice(excess, _MAX_EXCESS_EVICTIONS):
+            self._claim(job.id, task)
+            grace_s = GRACE_SAVE_TIME_FACTOR * job.spec.save_s
+            reason = MachineExcess.TASKS
+            evictions.append(PreemptionVictim(job.id, task, attempt.machine, grace_s, reason))
+        return evictions
+
+    def _claim(self, job_id: str, task: int) -> None:
+        """Claim a task, so that nothing else is stopped for it or in its place for a while."""
+        self._claims[job_id, task] = (
+            self._cluster_view.now + _CLAIM_HEARTBEAT_INTERVALS * self._report_s
+        )
 
     def graceful_evictions(self, owned: Iterable[Job]) -> list[PreemptionVictim]:
         """Return replicas to evict from machines about to leave; each fits on another machine."""
@@ -144,8 +172,7 @@
                 if target is None:
                     continue
                 capacities[target.id] = target.minus(job.spec)
-                until = cluster_view.now + _CLAIM_HEARTBEAT_INTERVALS * self._report_s
-                self._claims[job.id, task] = until
+                self._claim(job.id, task)
                 grace_s = GRACE_SAVE_TIME_FACTOR * job.spec.save_s
                 evictions.append(PreemptionVictim(job.id, task, machine, grace_s, reason))
         return evictions
--- a/src/sandladder/scheduling/premises.py
+++ b/src/sandladder/scheduling/premises.py
@@ -143,7 +143,7 @@
     if capacity is None:
         return False
     # The free capacity already excludes this pending start, so it must not be negative.
-    return min(capacity.cpus, capacity.gpus, capacity.memory_gb) >= -EPSILON
+    return min(capacity.cpus, capacity.gpus, capacity.memory_gb, capacity.tasks) >= -EPSILON
 
 
 def _machine_usable(pending_start: PendingStart, evidence: Evidence, resource: Resource) -> bool:
--- a/src/sandladder/scheduling/reservation.py
+++ b/src/sandladder/scheduling/reservation.py
@@ -15,7 +15,11 @@
 
 from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec
 from sandladder.scheduling.cluster_view import ClusterView
-from sandladder.scheduling.free_capacity import count_fitting, machine_allowed
+from sandladder.scheduling.free_capacity import (
+    MAX_TASKS_PER_MACHINE,
+    count_fitting,
+    machine_allowed,
+)
 
 
 class _MachineSlots(NamedTuple):
@@ -123,7 +127,8 @@
             kind for kind in self._cluster_view.cache.machine_types.values() if kind.fits(spec)
         ]
         return bool(types) and all(
-            count_fitting(spec, kind.cpus, kind.gpus, kind.memory_gb) < 2 for kind in types
+            count_fitting(spec, kind.cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE) < 2
+            for kind in types
         )
 
     def _choose_slots(self, job: Job) -> list[_MachineSlots] | None:
@@ -155,9 +160,11 @@
                 continue
             kind = cluster_view.cache.machine_types[capacity.type]
             cpus = kind.cpus - cluster_view.service_cpus(machine)
-            tasks = count_fitting(spec, cpus, kind.gpus, kind.memory_gb)
+            tasks = count_fitting(spec, cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE)
             if tasks > 0:
-                fitting = count_fitting(spec, capacity.cpus, capacity.gpus, capacity.memory_gb)
+                fitting = count_fitting(
+                    spec, capacity.cpus, capacity.gpus, capacity.memory_gb, capacity.tasks
+                )
                 free = min(tasks, max(0, fitting))
                 slots.append(_MachineSlots(1 - free / tasks, machine, capacity.zone, tasks))
         return slots
--- a/src/sandladder/scheduling/victim_selection.py
+++ b/src/sandladder/scheduling/victim_selection.py
@@ -3,6 +3,7 @@
 Pure: no I/O, no clock.
 """
 
+import enum
 from typing import NamedTuple
 
 from sandladder.model import ARRAY, Attempt, Job, JobSpec, zones_allowed
@@ -27,6 +28,12 @@
         return f"{self.job}/{self.task}"
 
 
+class MachineExcess(enum.StrEnum):
+    """What a machine has too much of."""
+
+    TASKS = "a machine with more tasks than its heartbeat can list"
+
+
 class PreemptionVictim(NamedTuple):
     """A running task to stop, for a more urgent task or because its machine is about to leave."""
 
@@ -34,7 +41,7 @@
     task: int
     machine: str
     grace_s: float
-    reason: WaitingTask | MachineDeparture
+    reason: WaitingTask | MachineDeparture | MachineExcess
 
 
 class _Running(NamedTuple):
@@ -102,11 +109,12 @@
         if any(item.attempt.stop_grace_s is not None for item in running):
             return None  # its capacity after these stops is not known yet
         cpus, gpus, memory_gb = capacity.cpus, capacity.gpus, capacity.memory_gb
+        tasks = capacity.tasks
         cost = 2 * self._cluster_view.fetch_s(spec, capacity)
         victims: list[PreemptionVictim] = []
         running.sort(key=lambda item: (item.job.spec.priority, -item.attempt.attempt, -item.task))
         for item in running:
-            if fits(spec, cpus, gpus, memory_gb):
+            if fits(spec, cpus, gpus, memory_gb, tasks):
                 break
             victim_spec = item.job.spec
             if victim_spec.priority >= spec.priority or victim_spec.kind != ARRAY:
@@ -116,6 +124,7 @@
             cpus += victim_spec.cpus
             gpus += victim_spec.gpus
             memory_gb += victim_spec.memory_gb
+            tasks += 1
             writes_checkpoint = victim_spec.checkpoint_s > 0 and 2 * victim_spec.save_s < within_s
             loss = _CHECKPOINTED_LOSS if writes_checkpoint else 1.0
             cost += (victim_spec.estimate_s * victim_spec.cpus / spec.cpus) * loss
@@ -123,6 +132,6 @@
             victims.append(
                 PreemptionVictim(item.job.id, item.task, capacity.id, grace_s, waiting_task)
             )
-        if not victims or not fits(spec, cpus, gpus, memory_gb):
+        if not victims or not fits(spec, cpus, gpus, memory_gb, tasks):
             return None
         return cost, victims
--- a/src/sandladder/transport/http_server.py
+++ b/src/sandladder/transport/http_server.py
@@ -162,6 +162,8 @@
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         too_large = isinstance(error, _BodyTooLargeError)
+        if too_large:
+            log.info("rejected a request body of more than %d bytes", self._body_limit)
         status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE if too_large else HTTPStatus.BAD_REQUEST
         with anyio.move_on_after(self._read_s):
             await stream.send(encode_response(conn, Response(status.value), close=True))
--- a/tests/simulation/cluster.py
+++ b/tests/simulation/cluster.py
@@ -57,6 +57,7 @@
         self.network.handlers["cloud"] = self.cloud.handle
         self.controllers = Controllers(self, large, old, state)
         self.network.on_commands = self.controllers.note_commands
+        self.network.is_too_long = functools.partial(rules.check_message_length, self)
         self.users = Users(self)
         # Shortcuts for tests.
         self.versions = self.controllers.versions
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -18,7 +18,9 @@
 CutMode = Literal["drop", "hold"]
 Handler = Callable[[str, Request], Awaitable[Response]]
 
-_OK = 200
+_OK, _BODY_TOO_LARGE = 200, 413
+# Responses of controllers, and of agents at these paths, are limited like requests.
+_CONTROLLER_PREFIX, _AGENT_PATHS = "node-", ("/do", "/status")
 # Minimum delay of a message, in seconds.
 _MIN_DELAY_S = 0.0005
 # Interval at which a held message checks whether the cut has been healed, in seconds.
@@ -36,6 +38,9 @@
         self.refused: set[frozenset[str]] = set()  # pairs of controllers that refuse connections
         # Called before and after each request is handled: (when, source, target, request).
         self.on_request: Callable[[str, str, str, Request], None] | None = None
+        # Called with each message whose length the protocol limits: (source, target, path, body);
+        # returns whether the message is too long.
+        self.is_too_long: Callable[[str, str, str, bytes], bool] | None = None
         # Called with the commands that a controller sends directly to a worker.
         self.on_commands: Callable[[list[dict[str, Any]]], None] | None = None
         self.tasks: Any = None  # the task group of the simulation
@@ -118,13 +123,21 @@
         handler = self.handlers.get(target)
         if handler is None:
             return None
-        response = await handler(source, request)
+        if self._too_long(source, target, request.path, request.body):
+            response = Response(_BODY_TOO_LARGE)
+        else:
+            response = await handler(source, request)
+        if target.startswith(_CONTROLLER_PREFIX) or request.path in _AGENT_PATHS:
+            self._too_long(target, source, request.path, response.body)
         details = request.path, response.status, response.retry_after, response.body
         TRACE.record("answer", target, source, *details)
         if self.on_request is not None:
             self.on_request("after", source, target, request)
         return response
 
+    def _too_long(self, source: str, target: str, path: str, body: bytes) -> bool:
+        return self.is_too_long is not None and self.is_too_long(source, target, path, body)
+
 
 class SimulatedHttpClient:
     """Replaces a controller's `HttpClient`."""
--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -2,19 +2,26 @@
 
 The rules are those of the protocol's page ("Rules").  Some are checked elsewhere: `forgotten` and
 part of `went_back` by `AnswerHistory`, `nothing_ran` by the tests, which count the starts.
-`began_twice`, `too_early`, `orphaned`, `started_cancelled`, `accepted_bad` and `mixed_up` are not in that list,
-but follow from the protocol.
+`began_twice`, `too_early`, `orphaned`, `started_cancelled`, `accepted_bad`, `mixed_up` and `too_long` are not in that
+list, but follow from the protocol.
 """
 
+import json
 from collections import Counter
 from typing import Any
 
+import cbor2
+
 from simulation.answer_consistency import can_never_run, is_over_limit, lacks_field
 from simulation.deployment import MACHINE_TYPES, ZONES
 from simulation.event_loop import now
 from simulation.machines import Machine, Task
 from simulation.shared_state import SharedState
 
+# The protocol's limit on a message, which counts its JSON form, and the most bytes of JSON for one
+# byte of CBOR (`false` and a comma).
+_MESSAGE_BYTES = 64 * 1024
+_JSON_BYTES_PER_CBOR_BYTE = 6
 # Prefix of the keys of job records in the store.
 _JOB_PREFIX = "s/j/"
 
@@ -170,3 +177,21 @@
     for name in shared.dependencies(job_id):
         if sent_at - shared.cancelled_at.get(name, sent_at) > shared.cancel_s:
             shared.record_violation("orphaned", f"{job_id} after {name}")
+
+
+def message_bytes(body: bytes) -> int:
+    """Return the length of a message in the form that the protocol's limit counts, in bytes."""
+    text = json.dumps(cbor2.loads(body), separators=(",", ":"), ensure_ascii=False)
+    return len(text.encode())
+
+
+def check_message_length(
+    shared: SharedState, source: str, target: str, path: str, body: bytes
+) -> bool:
+    """Record a `too_long` violation if a message exceeds the limit; return whether it does."""
+    if len(body) * _JSON_BYTES_PER_CBOR_BYTE <= _MESSAGE_BYTES:
+        return False
+    size = message_bytes(body)
+    if size > _MESSAGE_BYTES:
+        shared.record_violation("too_long", f"{source} to {target}, {path}: {size} bytes")
+    return size > _MESSAGE_BYTES
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,11 +1,13 @@
 """A cluster of real controllers with simulated surroundings, on the real clock."""
 
+import functools
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
 
+from simulation import rules
 from simulation.cluster import SimulatedCluster
 from simulation.deployment import CANCEL_S, platform_file
 from simulation.event_loop import now
@@ -42,6 +44,7 @@
         super().__init__(seed, count, limits=limits, **state)
         self.store.write_rps = state.get("write_rps", self.store.write_rps)
         self.network = self._loopback = LoopbackNetwork(self.rng, self.observed)
+        self.network.is_too_long = functools.partial(rules.check_message_length, self)
         self.network.handlers["state"] = self.store.handle
         self.network.handlers["cloud"] = self.cloud.handle
         self._ports: dict[tuple[str, str], int] = {}
