Transactions fit 64 KiB in the form that the limit counts

What callers saw: nothing directly; found by looking for other messages that may be too long. The store rejects such a transaction, and this controller writes less at a time until its limits are reset.

Cause: the length was that of the CBOR body, while the limit counts JSON. The values of one record or change were bounded by the number of operations only.

Why it works: a batch is measured in its JSON form. A transaction has at most as many values of full length as nine tenths of the limit hold; job records, inventories and instance records respect it.

--- a/src/sandladder/autoscaling/instance_records.py
+++ b/src/sandladder/autoscaling/instance_records.py
@@ -98,7 +98,8 @@
     async def _commit_batch(self) -> None:
         """Write as many changes as one transaction can hold."""
         chunks = sorted({self._chunk(machine) for machine in self._unwritten})
-        chunk_batch = set(chunks[: max(1, self._limits.txn_ops // _MAX_VALUES_PER_CHUNK)])
+        max_chunks = min(self._limits.txn_ops // _MAX_VALUES_PER_CHUNK, self._limits.max_values)
+        chunk_batch = set(chunks[: max(1, max_chunks)])
         records = {
             machine: record
             for machine, record in self._unwritten.items()
--- a/src/sandladder/membership/inventory_writer.py
+++ b/src/sandladder/membership/inventory_writer.py
@@ -78,7 +78,8 @@
         """
         self._last_part = []
         changes = self._changes(Transaction(self._cache), self._fencing_token())
-        if self._cache.schema_version == SCHEMA_V1 or len(changes) < self._limits.txn_ops:
+        fits = len(changes) < self._limits.txn_ops and len(changes) <= self._limits.max_values
+        if self._cache.schema_version == SCHEMA_V1 or fits:
             return
         first_key = changes[0][0]
         *ahead, last = stamp_parts(first_key, [value for _, value in changes], self._next_stamp())
--- a/src/sandladder/protocol/store_messages.py
+++ b/src/sandladder/protocol/store_messages.py
@@ -37,12 +37,12 @@
     changes: list[tuple[str, Any, int]]  # key, value (None: deleted), version
 
 
-def commit_body(
+def commit_message(
     expected_versions: Iterable[tuple[str, int]],
     puts: Iterable[tuple[str, Any, int | None]],
     drops: Iterable[str],
-) -> bytes:
-    """Return the body of an atomic compare-and-swap transaction.
+) -> dict[str, Any]:
+    """Return the body of an atomic compare-and-swap transaction, before encoding.
 
     Args:
         expected_versions: keys, each with the version that it must have; 0: it must not exist.
@@ -57,7 +57,16 @@
         changes.append(change)
     changes.extend({"drop": key} for key in drops)
     conditions = [{"key": key, "edition": version} for key, version in expected_versions]
-    return dumps({"guards": conditions, "apply": changes})
+    return {"guards": conditions, "apply": changes}
+
+
+def commit_body(
+    expected_versions: Iterable[tuple[str, int]],
+    puts: Iterable[tuple[str, Any, int | None]],
+    drops: Iterable[str],
+) -> bytes:
+    """Return the encoded body of a transaction; arguments as in `commit_message`."""
+    return dumps(commit_message(expected_versions, puts, drops))
 
 
 def parse_revision(body: bytes) -> int:
--- a/src/sandladder/state/batch.py
+++ b/src/sandladder/state/batch.py
@@ -7,11 +7,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import cached_property
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-import msgspec
-
-from sandladder.protocol import store_messages
+from sandladder.protocol import codec, dumps, store_messages
 from sandladder.state.cache import StateCache
 from sandladder.state.entries import KeyChange
 from sandladder.state.errors import PreconditionFailedError
@@ -38,18 +36,27 @@
         return self.transaction.changes()
 
     @cached_property
-    def body(self) -> bytes:
-        """The encoded request body."""
-        return store_messages.commit_body(
+    def _message(self) -> dict[str, Any]:
+        return store_messages.commit_message(
             self.transaction.expected_versions.items(),
             [change for change in self.changes if change.value is not None],
             [change.key for change in self.changes if change.value is None],
         )
 
+    @cached_property
+    def body(self) -> bytes:
+        """The encoded request body."""
+        return dumps(self._message)
+
+    @cached_property
+    def body_bytes(self) -> int:
+        """The length of the request body as the store's limit counts it, in bytes."""
+        return codec.counted_bytes(self._message)
+
     @property
     def largest_value_bytes(self) -> int:
         """The encoded length of the longest value, in bytes."""
-        return max((len(msgspec.json.encode(c.value)) for c in self.changes), default=0)
+        return max((codec.counted_bytes(c.value) for c in self.changes), default=0)
 
     @property
     def names(self) -> list[str]:
--- a/src/sandladder/state/group_commit.py
+++ b/src/sandladder/state/group_commit.py
@@ -320,4 +320,4 @@
 
 
 def _is_too_long(batch: Batch) -> bool:
-    return len(batch.body) > _MAX_BODY_SHARE * codec.BODY_LIMIT
+    return batch.body_bytes > _MAX_BODY_SHARE * codec.BODY_LIMIT
--- a/src/sandladder/state/store_client.py
+++ b/src/sandladder/state/store_client.py
@@ -99,7 +99,7 @@
         """Commit a transaction.
 
         Args:
-            body: the transaction, as encoded by `store_messages.commit_body`.
+            body: the transaction, an encoded `store_messages.commit_message`.
             changes: the number of its puts and deletes.
 
         Returns:
--- a/src/sandladder/state/store_limits.py
+++ b/src/sandladder/state/store_limits.py
@@ -10,10 +10,14 @@
 
 from sandladder.config import MIN_TXN_OPS, StoreSettings
 from sandladder.model import SCHEMA_V1
+from sandladder.protocol.codec import BODY_LIMIT
 from sandladder.state.cache import StateCache
 
 # The share of the limit on a value that is used; the rest is for the key and the encoding.
 _VALUE_BYTES_SHARE = 0.95
+# The share of the limit on a transaction that its values may use; the rest is for the keys, the
+# expected versions and the encoding.
+_TRANSACTION_VALUES_SHARE = 0.9
 # The maximum number of expected versions per put or delete of a transaction.
 _CONDITIONS_PER_OPERATION = 4
 # The maximum number of values of a job's record, regardless of the transaction's limit.
@@ -69,7 +73,16 @@
     @property
     def value_bytes(self) -> float:
         """The maximum length of a value, in bytes."""
-        return min(self._applicable.value_bytes * _VALUE_BYTES_SHARE, self._observed_value_bytes)
+        return min(
+            self._applicable.value_bytes * _VALUE_BYTES_SHARE,
+            self._observed_value_bytes,
+            _TRANSACTION_VALUES_SHARE * BODY_LIMIT,
+        )
+
+    @property
+    def max_values(self) -> int:
+        """The maximum number of values of full length in a transaction."""
+        return max(1, int(_TRANSACTION_VALUES_SHARE * BODY_LIMIT / self.value_bytes))
 
     @property
     def max_parts(self) -> int:
@@ -77,7 +90,7 @@
         if self._is_schema_v1:
             return 1
         # The transaction that ends a job needs one more operation.
-        return max(1, min(_MAX_PARTS, self.txn_ops - 1))
+        return max(1, min(_MAX_PARTS, self.txn_ops - 1, self.max_values))
 
     def max_spec_bytes(self) -> float:
         """Return the maximum length of a job's record without live attempts, in bytes."""
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -18,6 +18,7 @@
 from sandladder.autoscaling.provisioned_capacity import BootedMachines
 from sandladder.autoscaling.unresponsive import boot_is_overdue, unresponsive_instances
 from sandladder.model import ACTIVE, DRAINING, GONE, AgentHeartbeat, ListedMachine, Machine
+from sandladder.protocol.codec import BODY_LIMIT
 from sandladder.scheduling import ClusterView
 from sandladder.state import (
     AUTOSCALER_KEY,
@@ -28,6 +29,7 @@
     StoreLimits,
     Transaction,
 )
+from sandladder.state.batch import Batch
 from simulation import VirtualTimeEventLoop, settings
 
 NODE, TTL_S = "node-0", 4.0
@@ -51,6 +53,7 @@
 
     def __init__(self, cache: StateCache) -> None:
         self.cache, self.rejects, self.names = cache, False, []
+        self.largest_bytes = 0  # of a transaction, as the store's limit counts it
         self.on_committed: Callable[[], None] = lambda: None  # called before the answer arrives
 
     def add(self, change: PendingChange) -> "ImmediateCommitter":
@@ -63,6 +66,8 @@
             raise PreconditionFailedError("rejected")
         transaction = Transaction(self.cache)
         if self.change.apply(transaction):
+            size = Batch(transaction, [self.change]).body_bytes
+            self.largest_bytes = max(self.largest_bytes, size)
             commit(self.cache, transaction)
             self.change.revision = self.cache.revision
         self.on_committed()
@@ -203,8 +208,10 @@
     return Machine("small", "north", True, state, 0.0)
 
 
-def record_writer(cache: StateCache, committer: ImmediateCommitter) -> InstanceRecordWriter:
-    state = settings(0, 1).platform.deployment.state
+def record_writer(
+    cache: StateCache, committer: ImmediateCommitter, **store: Any
+) -> InstanceRecordWriter:
+    state = settings(0, 1, **store).platform.deployment.state
     limits = StoreLimits(state, cache)
     return InstanceRecordWriter(cache, committer, limits, state.value_bytes, interval_s=4.0)
 
@@ -231,6 +238,33 @@
     in_virtual_time(main)
 
 
+def test_the_records_of_many_instances_are_written_in_transactions_that_fit_the_limit() -> None:
+    """Guards against transactions that the store rejects as too large."""
+
+    async def main() -> None:
+        cache = StateCache()
+        committer = ImmediateCommitter(cache)
+        records = record_writer(cache, committer, value_kb=16.0, txn_ops=32)
+        states = (ACTIVE, DRAINING, GONE)
+        records.queue(
+            {
+                f"vm-{number:06d}": Machine(
+                    f"type-{number % 7}",
+                    f"zone-{number % 4}",
+                    number % 2 == 0,
+                    states[number % 3],
+                    1.7e9 + 1.37 * number,
+                )
+                for number in range(4_000)
+            }
+        )
+        await records.flush()
+        assert len(cache.instances) == 4_000
+        assert 0.5 * BODY_LIMIT < committer.largest_bytes <= BODY_LIMIT
+
+    in_virtual_time(main)
+
+
 def test_rejected_record_changes_stay_queued_and_newer_ones_take_precedence() -> None:
     async def main() -> None:
         cache = StateCache()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the token bucket, the group committer and the errors of the store."""
 
+import json
 from collections.abc import Callable
 from itertools import count
 from random import Random
@@ -9,6 +10,7 @@
 import pytest
 
 from sandladder.errors import SandladderError
+from sandladder.model import SCHEMA_V2
 from sandladder.protocol import codec, dumps, loads
 from sandladder.state import (
     PRIORITY_BACKGROUND,
@@ -435,3 +437,32 @@
     commit_all([stuck, *others], RejectingStore())  # type: ignore[arg-type]
     assert isinstance(stuck.error, PreconditionFailedError)
     assert [change.error for change in others] == [None] * 3
+
+
+def test_transactions_fit_the_limit_in_the_form_that_it_counts() -> None:
+    """Guards against transactions of numbers, whose JSON form is twice as long as their CBOR."""
+
+    def put_numbers(key: str) -> Callable[[Transaction], bool]:
+        def apply(transaction: Transaction) -> bool:
+            transaction.put(key, [200] * 7_000, 0)
+            return True
+
+        return apply
+
+    changes = [
+        PendingChange(f"numbers {n}", PRIORITY_REQUEST, 1, put_numbers(f"s/p/{n}"))
+        for n in range(4)
+    ]
+    store = ScriptedStore(*committed(4))
+    commit_all(changes, store)
+    assert [change.error for change in changes] == [None] * 4
+    assert all(len(json.dumps(body)) <= codec.BODY_LIMIT for body in store.bodies)
+
+
+@pytest.mark.parametrize("value_kb", [2.0, 8.0, 16.0, 32.0, 64.0])
+def test_the_values_of_one_record_fit_a_transaction(value_kb: float) -> None:
+    """Guards against records that can never be written, as their values are too long together."""
+    limits = StoreLimits(settings(0, 1, value_kb=value_kb).platform.deployment.state, StateCache())
+    limits._cache.schema_version = SCHEMA_V2
+    assert 1 <= limits.max_parts <= limits.max_values
+    assert limits.max_values * limits.value_bytes < codec.BODY_LIMIT
