Ends of many attempts are sent to peers in several messages

What callers saw: nothing directly; found by looking for other messages that may be too long. When thousands of attempts end at once, as with a zone, the peers learn of it only from the records.

Cause: all ends that were proved at once went into one message, of any length. A peer closes the connection at a frame of more than 256 KiB.

Evidence: the test with 5,000 ends fails before this change.

Why it works: a message has at most 250 ends, which fit a frame even with the longest names.

--- a/src/sandladder/jobs/end_announcer.py
+++ b/src/sandladder/jobs/end_announcer.py
@@ -15,6 +15,8 @@
 
 # The time after which this controller commits an end instead of the assignee, in `max_wait_s`.
 _ASSIGNEE_TIMEOUT_WAITS = 3
+# The ends in one message to a peer: a frame holds this many even if all names are long.
+_MAX_ENDS_PER_MESSAGE = 250
 
 Commit = Callable[[EndedAttempt], None]
 
@@ -133,12 +135,20 @@
     ) -> None:
         """Send new ends to all peers, and ends of reassigned teams to the new assignees."""
         connections = self._peers.connections
-        if first_proved:
-            for connection in connections.values():
-                connection.send(peer_transport.EndedTasks(first_proved))
+        for connection in connections.values():
+            _send_ends(connection, first_proved)
         for assignee, ends in reassigned.items():
             if assignee in connections:
-                connections[assignee].send(peer_transport.EndedTasks(ends))
+                _send_ends(connections[assignee], ends)
+
+
+def _send_ends(
+    connection: peer_transport.PeerConnection, ends: list[peer_transport.EndedTask]
+) -> None:
+    """Send ends to a peer, in as many messages as the limit on a frame requires."""
+    for first in range(0, len(ends), _MAX_ENDS_PER_MESSAGE):
+        batch = ends[first : first + _MAX_ENDS_PER_MESSAGE]
+        connection.send(peer_transport.EndedTasks(batch))
 
 
 def _end_message(ended: EndedAttempt) -> peer_transport.EndedTask:
--- a/tests/test_job_commits.py
+++ b/tests/test_job_commits.py
@@ -13,10 +13,10 @@
 from sandladder.jobs.end_announcer import EndAnnouncer
 from sandladder.jobs.end_queue import EndQueue
 from sandladder.jobs.start_queue import StartQueue
-from sandladder.model import AttemptOutcome, EndedAttempt, Job, Placement
+from sandladder.model import Attempt, AttemptOutcome, EndedAttempt, Job, Placement
 from sandladder.scheduling import ClusterView
 from sandladder.state import StateCache, Transaction
-from sandladder.transport import peer_transport
+from sandladder.transport import peer_messages, peer_transport
 
 MAX_WAIT_S = 4.0
 WORKERS = AgentSettings(report_s=3.0, lease_s=12.0, cancel_s=40.0)
@@ -193,6 +193,21 @@
     assert scenario.peers.sent_counts() == [1, 1] and scenario.committed == []
 
 
+def test_many_ends_are_sent_in_messages_that_fit_a_frame(monkeypatch) -> None:
+    """Guards against ends that no peer reads, as a frame that is too long closes the connection."""
+    scenario = AnnouncerScenario(monkeypatch, "node-1")
+    name = 128 * "€"
+    attempt = Attempt(name, name, 10**6, 10**6)
+    ends = [
+        EndedAttempt("job-" + 18 * "9", task, attempt, AttemptOutcome.DONE) for task in range(5_000)
+    ]
+    scenario.announcer.record_ended_attempts(ends)
+    for connection in scenario.peers.connections.values():
+        assert sum(len(message.ends) for message in connection.sent) == 5_000
+        frames = [peer_messages.encode_frame(message) for message in connection.sent]
+        assert all(len(frame) <= peer_messages.MAX_FRAME_BYTES for frame in frames)
+
+
 def test_an_end_is_sent_again_to_the_new_assignee_after_a_reassignment(monkeypatch) -> None:
     scenario = AnnouncerScenario(monkeypatch, "node-1")
     for assignee in ("node-1", "node-2", "node-2"):
