scheduling: the free capacity answers how many tasks fit, in place of four loose amounts

Cause: each caller passed cores, GPUs, memory and tasks to the functions fits and count_fitting, and the victim selector kept four sums. Change: FreeCapacity.can_take, count_fitting and plus; count_on_empty_machine for a type.

--- a/src/sandladder/agents/command_limits.py
+++ b/src/sandladder/agents/command_limits.py
@@ -3,7 +3,7 @@
 Performs no I/O and reads no clock.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from sandladder.agents.agent_session import AgentSession
 from sandladder.model import Command
@@ -28,7 +28,7 @@
 
 
 def _starts_with_room(
-    agent: AgentSession, forgotten: int, starts: Iterable[Command]
+    agent: AgentSession, forgotten: int, starts: Sequence[Command]
 ) -> list[Command]:
     """Return the starts for which the agent's heartbeat has room.
 
@@ -40,6 +40,8 @@
         forgotten: the number of listed tasks that the same message makes the agent forget.
         starts: the starts in order of preference.
     """
+    if not starts:
+        return []
     arriving = agent.sent_starts.unreported(agent.reported_tasks)
     room = MAX_LISTED_TASKS - (len(agent.reported_tasks) - forgotten) - len(arriving)
     fitting = []
--- a/src/sandladder/scheduling/free_capacity.py
+++ b/src/sandladder/scheduling/free_capacity.py
@@ -30,7 +30,16 @@
 
     def can_take(self, spec: JobSpec) -> bool:
         """Return whether one more task of a job fits on the machine."""
-        return fits(spec, self.cpus, self.gpus, self.memory_gb, self.tasks)
+        return (
+            self.tasks >= 1
+            and spec.cpus <= self.cpus + EPSILON
+            and spec.gpus <= self.gpus + EPSILON
+            and spec.memory_gb <= self.memory_gb + EPSILON
+        )
+
+    def count_fitting(self, spec: JobSpec) -> int:
+        """Return how many more tasks of a job fit on the machine; negative if it has too many."""
+        return _count_fitting(spec, self.cpus, self.gpus, self.memory_gb, self.tasks)
 
     def minus(self, spec: JobSpec) -> "FreeCapacity":
         """Return the free capacity after one more task of a job is placed."""
@@ -41,6 +50,15 @@
             tasks=self.tasks - 1,
         )
 
+    def plus(self, spec: JobSpec) -> "FreeCapacity":
+        """Return the free capacity after a task of a job has ended."""
+        return self._replace(
+            cpus=self.cpus + spec.cpus,
+            gpus=self.gpus + spec.gpus,
+            memory_gb=self.memory_gb + spec.memory_gb,
+            tasks=self.tasks + 1,
+        )
+
     def without_gpu_share(self, kind: MachineType) -> "FreeCapacity":
         """Return the free capacity without the GPU share (see `GpuProtection`)."""
         if self.gpus <= 0 or kind.gpus <= 0:
@@ -103,17 +121,19 @@
     )
 
 
-def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, tasks: int) -> bool:
-    """Return whether a task of a job fits into the given resources and number of tasks."""
-    return (
-        tasks >= 1
-        and spec.cpus <= cpus + EPSILON
-        and spec.gpus <= gpus + EPSILON
-        and spec.memory_gb <= memory_gb + EPSILON
-    )
+def count_on_empty_machine(spec: JobSpec, kind: MachineType, reserved_cpus: float = 0.0) -> int:
+    """Return how many tasks of a job fit on a machine without other tasks.
+
+    Args:
+        spec: the job.
+        kind: the machine's type.
+        reserved_cpus: the cores that are not available.
+    """
+    cpus = kind.cpus - reserved_cpus
+    return _count_fitting(spec, cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE)
 
 
-def count_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, tasks: int) -> int:
+def _count_fitting(spec: JobSpec, cpus: float, gpus: float, memory_gb: float, tasks: int) -> int:
     """Return how many tasks of a job fit into the given resources and number of tasks."""
     count = min(cpus / spec.cpus, memory_gb / max(spec.memory_gb, 1e-9))
     if spec.gpus > 0:
--- a/src/sandladder/scheduling/machine_selection.py
+++ b/src/sandladder/scheduling/machine_selection.py
@@ -12,7 +12,7 @@
 
 from sandladder.model import SERVICE, Job, JobSpec
 from sandladder.scheduling.cluster_view import ClusterView
-from sandladder.scheduling.free_capacity import FreeCapacity, count_fitting
+from sandladder.scheduling.free_capacity import FreeCapacity
 from sandladder.scheduling.placement_cost import PlacementCost
 
 # Until this share of its start objective has passed, a job uses only machines on which it meets the
@@ -211,10 +211,7 @@
     """Return the machines of the job's zone, or else of the zone that can take most tasks."""
     tasks_by_zone: Counter[str] = Counter()
     for capacity in machines:
-        tasks = count_fitting(
-            spec, capacity.cpus, capacity.gpus, capacity.memory_gb, capacity.tasks
-        )
-        tasks_by_zone[capacity.zone] += tasks
+        tasks_by_zone[capacity.zone] += capacity.count_fitting(spec)
     if not tasks_by_zone:
         return []
     chosen = zones[0] if zones else max(tasks_by_zone, key=lambda zone: tasks_by_zone[zone])
--- a/src/sandladder/scheduling/overfull_machines.py
+++ b/src/sandladder/scheduling/overfull_machines.py
@@ -1,7 +1,7 @@
 """Choice of tasks to move off machines with more tasks than their heartbeats can list.
 
-No controller of this version fills a machine so far, but the records may hold such starts.  Pure:
-no I/O, no clock.
+Controllers of this version do not put that many tasks on a machine, but those of an earlier version
+did.  Pure: no I/O, no clock.
 """
 
 from collections.abc import Iterator
--- a/src/sandladder/scheduling/reservation.py
+++ b/src/sandladder/scheduling/reservation.py
@@ -15,11 +15,7 @@
 
 from sandladder.model import GANG, HIGH, SERVICE, Job, JobSpec
 from sandladder.scheduling.cluster_view import ClusterView
-from sandladder.scheduling.free_capacity import (
-    MAX_TASKS_PER_MACHINE,
-    count_fitting,
-    machine_allowed,
-)
+from sandladder.scheduling.free_capacity import count_on_empty_machine, machine_allowed
 
 
 class _MachineSlots(NamedTuple):
@@ -126,10 +122,7 @@
         types = [
             kind for kind in self._cluster_view.cache.machine_types.values() if kind.fits(spec)
         ]
-        return bool(types) and all(
-            count_fitting(spec, kind.cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE) < 2
-            for kind in types
-        )
+        return bool(types) and all(count_on_empty_machine(spec, kind) < 2 for kind in types)
 
     def _choose_slots(self, job: Job) -> list[_MachineSlots] | None:
         """Return the set of machines with the least busy capacity on which a job fits, or None.
@@ -159,13 +152,9 @@
             if capacity is None or not capacity.usable or not machine_allowed(spec, capacity):
                 continue
             kind = cluster_view.cache.machine_types[capacity.type]
-            cpus = kind.cpus - cluster_view.service_cpus(machine)
-            tasks = count_fitting(spec, cpus, kind.gpus, kind.memory_gb, MAX_TASKS_PER_MACHINE)
+            tasks = count_on_empty_machine(spec, kind, cluster_view.service_cpus(machine))
             if tasks > 0:
-                fitting = count_fitting(
-                    spec, capacity.cpus, capacity.gpus, capacity.memory_gb, capacity.tasks
-                )
-                free = min(tasks, max(0, fitting))
+                free = min(tasks, max(0, capacity.count_fitting(spec)))
                 slots.append(_MachineSlots(1 - free / tasks, machine, capacity.zone, tasks))
         return slots
 
--- a/src/sandladder/scheduling/victim_selection.py
+++ b/src/sandladder/scheduling/victim_selection.py
@@ -8,7 +8,7 @@
 
 from sandladder.model import ARRAY, Attempt, Job, JobSpec, zones_allowed
 from sandladder.scheduling.cluster_view import ClusterView
-from sandladder.scheduling.free_capacity import FreeCapacity, fits, machine_allowed
+from sandladder.scheduling.free_capacity import FreeCapacity, machine_allowed
 from sandladder.scheduling.machine_observations import MachineDeparture
 from sandladder.scheduling.machine_selection import MachineSelector
 
@@ -108,23 +108,19 @@
         running = [_Running(*item) for item in self._cluster_view.cache.attempts_on(capacity.id)]
         if any(item.attempt.stop_grace_s is not None for item in running):
             return None  # its capacity after these stops is not known yet
-        cpus, gpus, memory_gb = capacity.cpus, capacity.gpus, capacity.memory_gb
-        tasks = capacity.tasks
+        remaining = capacity
         cost = 2 * self._cluster_view.fetch_s(spec, capacity)
         victims: list[PreemptionVictim] = []
         running.sort(key=lambda item: (item.job.spec.priority, -item.attempt.attempt, -item.task))
         for item in running:
-            if fits(spec, cpus, gpus, memory_gb, tasks):
+            if remaining.can_take(spec):
                 break
             victim_spec = item.job.spec
             if victim_spec.priority >= spec.priority or victim_spec.kind != ARRAY:
                 continue
             if (item.job.id, item.task) in chosen:
                 continue
-            cpus += victim_spec.cpus
-            gpus += victim_spec.gpus
-            memory_gb += victim_spec.memory_gb
-            tasks += 1
+            remaining = remaining.plus(victim_spec)
             writes_checkpoint = victim_spec.checkpoint_s > 0 and 2 * victim_spec.save_s < within_s
             loss = _CHECKPOINTED_LOSS if writes_checkpoint else 1.0
             cost += (victim_spec.estimate_s * victim_spec.cpus / spec.cpus) * loss
@@ -132,6 +128,6 @@
             victims.append(
                 PreemptionVictim(item.job.id, item.task, capacity.id, grace_s, waiting_task)
             )
-        if not victims or not fits(spec, cpus, gpus, memory_gb, tasks):
+        if not victims or not remaining.can_take(spec):
             return None
         return cost, victims
