scheduling: a private name that is not a word of the protocol

Cause: tests/test_vocabulary.py fails on the name _rank, which is a field of the protocol. Measured: the vocabulary tests pass.

--- a/src/sandladder/scheduling/overfull_machines.py
+++ b/src/sandladder/scheduling/overfull_machines.py
@@ -19,11 +19,11 @@
     """
     for machine, tasks in cache.attempts_by_machine.items():
         if len(tasks) > MAX_LISTED_TASKS:
-            attempts = sorted(cache.attempts_on(machine), key=_rank)
+            attempts = sorted(cache.attempts_on(machine), key=_stay_order)
             yield from attempts[MAX_LISTED_TASKS:]
 
 
-def _rank(item: tuple[Job, int, Attempt]) -> tuple[int, str, int]:
-    """Return the sort key of an attempt; the first ones stay on the machine."""
+def _stay_order(item: tuple[Job, int, Attempt]) -> tuple[int, str, int]:
+    """Return the sort key of an attempt; the first ones stay on their machine."""
     job, task, _ = item
     return -job.spec.priority, job.id, task
