--- a/src/sandladder/api/cancellation.py
+++ b/src/sandladder/api/cancellation.py
@@ -7,7 +7,7 @@
 from sandladder.api.answers import Answer, KnownJob, RetryLater, UnknownJob
 from sandladder.api.job_lookup import JobLookup
 from sandladder.jobs import cancel
-from sandladder.model import CANCELLED, DONE, FinishedJob, Job
+from sandladder.model import CANCELLED, DONE, FinishedJob
 from sandladder.peers import PeerService
 from sandladder.protocol.job_messages import is_job_id
 from sandladder.scheduling import ClusterView
@@ -74,7 +74,6 @@
             return KnownJob(job_id, job.state)
         if self._lookup.state(job) == CANCELLED:
             return self._cancelled_answer(job_id)
-        reporting_controllers = self._reporting_controllers(job)
         try:
             await self._commit(job_id)
         except PreconditionFailedError:
@@ -83,7 +82,7 @@
                 return RetryLater()
             if current.state == DONE:
                 return KnownJob(job_id, DONE)
-        self._peers.notify(reporting_controllers)
+        self._peers.notify(self._reporting_controllers(job_id))
         return self._cancelled_answer(job_id)
 
     async def _commit(self, job_id: str) -> None:
@@ -97,10 +96,11 @@
         with anyio.fail_after(self._timeout_s):
             await self._committer.add(change).wait()
 
-    def _reporting_controllers(self, job: Job) -> set[str]:
-        """Return the reporting controllers of the machines on which the job has a start."""
+    def _reporting_controllers(self, job_id: str) -> set[str]:
+        """Return the reporting controllers of the machines on which a job has a start."""
+        job = self._cache.jobs.get(job_id)
         controllers = set()
-        for attempt in job.live.values():
+        for attempt in job.live.values() if job is not None else ():
             observation = self._cluster_view.observation(attempt.machine)
             if observation is not None:
                 controllers.add(observation.reporting_controller)
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -309,9 +309,11 @@
         self._cache = cache
         self.rejection: PreconditionFailedError | None = None
         self.changes: list[str] = []
+        self.on_add: Callable[[], object] = list  # called before a change is applied
 
     def add(self, change: PendingChange) -> PendingChange:
         self.changes.append(change.name)
+        self.on_add()
         transaction = Transaction(self._cache)
         try:
             if self.rejection is not None:
@@ -474,6 +476,22 @@
     assert services.committer.changes == [f"cancel {found.id}"]
 
 
+def test_a_cancellation_notifies_the_controllers_of_starts_that_were_committed_meanwhile() -> None:
+    """Guards against a cancellation that notifies those of the record before its commit."""
+    services = Services()
+    found = accept(services.cache)
+
+    def start_tasks() -> None:
+        transaction = Transaction(services.cache)
+        placements = [pending.placement for pending in services.planner.plan([found], {})]
+        start(transaction, found.id, placements, LIMITS)
+        commit(services.cache, transaction)
+
+    services.committer.on_add = start_tasks
+    assert services.cancel(found.id) == KnownJob(found.id, CANCELLED)
+    assert services.peers.notified == [{"node-0"}]
+
+
 def test_a_cancellation_is_idempotent_and_persists_after_a_repeated_submission() -> None:
     services = Services()
     accept(services.cache)
