--- a/src/sandladder/api/cancellation.py
+++ b/src/sandladder/api/cancellation.py
@@ -78,10 +78,11 @@
             await self._commit(job_id)
         except PreconditionFailedError:
             current = await self._lookup.find(job_id)
-            if current is None or current.state not in (DONE, CANCELLED):
-                return RetryLater()
-            if current.state == DONE:
+            state = None if current is None else self._lookup.state(current)
+            if state == DONE:
                 return KnownJob(job_id, DONE)
+            if state != CANCELLED:
+                return RetryLater()
         self._peers.notify(self._reporting_controllers(job_id))
         return self._cancelled_answer(job_id)
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -492,6 +492,20 @@
     assert services.peers.notified == [{"node-0"}]
 
 
+def test_a_cancellation_that_is_refused_is_answered_with_the_state_that_its_dependency_gives() -> (
+    None
+):
+    """Guards against a 503 about a job whose dependency was cancelled during the commit."""
+    services = Services()
+    services.cache.schema_version = SCHEMA_V2
+    accept(services.cache, number=2)
+    assert isinstance(services.submit(1, awaits=["job-000002"]), AcceptedJob)
+    cancelled = FinishedJob(CANCELLED, 0)
+    services.committer.on_add = lambda: services.cache.add_finished_job("job-000002", cancelled)
+    services.committer.rejection = PreconditionFailedError("an outdated version")
+    assert services.cancel("job-000001") == KnownJob("job-000001", CANCELLED)
+
+
 def test_a_cancellation_is_idempotent_and_persists_after_a_repeated_submission() -> None:
     services = Services()
     accept(services.cache)
