--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -140,7 +140,9 @@
         return int(play_one(arguments))
     out = arguments.out or Path(tempfile.mkdtemp(prefix="soak-"))
     runs = Runs(arguments, out)
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(int(Verdict.NOT_RUN)))
+    # Both are set: a shell starts a script's background commands with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda number, frame: sys.exit(int(Verdict.NOT_RUN)))
     with ThreadPoolExecutor(arguments.jobs) as pool:
         try:
             verdicts = list(pool.map(runs.play, arguments.seeds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -87,7 +87,21 @@
 def test_no_process_of_a_run_is_left_after_the_command_is_stopped(
     tmp_path: Path, number: signal.Signals
 ) -> None:
-    command = [*COMMAND, "--seeds", "3", "--workers", "4", "--out", str(tmp_path)]
+    check_that_it_stops(tmp_path, number, COMMAND)
+
+
+def test_no_process_is_left_after_a_command_that_began_with_an_ignored_sigint(
+    tmp_path: Path,
+) -> None:
+    """Guards against a command that a shell script has started in the background."""
+    check_that_it_stops(
+        tmp_path, signal.SIGINT, ["sh", "-c", 'trap "" INT; exec "$@"', "sh", *COMMAND]
+    )
+
+
+def check_that_it_stops(tmp_path: Path, number: signal.Signals, command: list[str]) -> None:
+    """Start a run, send the command a signal, and check that none of its processes is left."""
+    command = [*command, "--seeds", "3", "--workers", "4", "--out", str(tmp_path)]
     process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
     try:
         while not list(tmp_path.glob("seed-3/node-*.log")):
