--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -105,6 +105,12 @@
     play_upgrade(900 + FAULTS.index(fault), fault)
 
 
+@requires_history
+def test_jobs_complete_after_an_upgrade_beside_a_waiting_job_that_needs_gpus() -> None:
+    """Guards against aged jobs that are held to one task each, so that a gang never starts."""
+    play_upgrade(932, all_faults)
+
+
 def play_upgrade(seed: int, fault: Fault) -> None:
     cluster = SimulatedCluster(seed, old=True, next=NEXT_LIMITS)
     run(cluster, lambda: run_upgrade(cluster, fault))
