--- a/src/sandladder/api/cancellation.py
+++ b/src/sandladder/api/cancellation.py
@@ -6,22 +6,12 @@
 
 from sandladder.api.answers import Answer, KnownJob, RetryLater, UnknownJob
 from sandladder.api.job_lookup import JobLookup
-from sandladder.jobs import cancel
+from sandladder.jobs import cancellation
 from sandladder.model import CANCELLED, DONE, FinishedJob
 from sandladder.peers import PeerService
 from sandladder.protocol.job_messages import is_job_id
 from sandladder.scheduling import ClusterView
-from sandladder.state import (
-    PRIORITY_REQUEST,
-    GroupCommitter,
-    PendingChange,
-    PreconditionFailedError,
-    StateCache,
-    Transaction,
-)
-
-# Maximum number of puts and deletes of a cancellation.
-_MAX_CANCELLATION_OPERATIONS = 2
+from sandladder.state import GroupCommitter, PreconditionFailedError, StateCache
 
 
 class CancellationService:
@@ -75,7 +65,8 @@
         if self._lookup.state(job) == CANCELLED:
             return self._cancelled_answer(job_id)
         try:
-            await self._commit(job_id)
+            with anyio.fail_after(self._timeout_s):
+                await self._committer.add(cancellation(job_id, self._wall_clock)).wait()
         except PreconditionFailedError:
             current = await self._lookup.find(job_id)
             state = None if current is None else self._lookup.state(current)
@@ -86,17 +77,6 @@
         self._peers.notify(self._reporting_controllers(job_id))
         return self._cancelled_answer(job_id)
 
-    async def _commit(self, job_id: str) -> None:
-        def apply(transaction: Transaction) -> bool:
-            cancel(transaction, job_id, self._wall_clock())
-            return True
-
-        change = PendingChange(
-            f"cancel {job_id}", PRIORITY_REQUEST, _MAX_CANCELLATION_OPERATIONS, apply
-        )
-        with anyio.fail_after(self._timeout_s):
-            await self._committer.add(change).wait()
-
     def _reporting_controllers(self, job_id: str) -> set[str]:
         """Return the reporting controllers of the machines on which a job has a start."""
         job = self._cache.jobs.get(job_id)
--- a/src/sandladder/jobs/__init__.py
+++ b/src/sandladder/jobs/__init__.py
@@ -11,6 +11,7 @@
 """
 
 from sandladder.jobs.archiver import JobArchiver
+from sandladder.jobs.cancellation import cancellation
 from sandladder.jobs.dependency_resolver import DependencyResolver
 from sandladder.jobs.dependent_canceller import DependentCanceller
 from sandladder.jobs.job_committer import JobCommitter
@@ -33,6 +34,7 @@
     "SubmittedDependencies",
     "archive_job",
     "cancel",
+    "cancellation",
     "end",
     "rejection_reason",
     "start",
--- a/src/sandladder/jobs/dependent_canceller.py
+++ b/src/sandladder/jobs/dependent_canceller.py
@@ -6,21 +6,12 @@
 from sandladder import clock
 from sandladder.concurrency import BackgroundTasks
 from sandladder.config import AgentSettings
-from sandladder.jobs.transitions import cancel
+from sandladder.jobs.cancellation import cancellation
 from sandladder.peers import PeerService
-from sandladder.state import (
-    PRIORITY_REQUEST,
-    GroupCommitter,
-    PendingChange,
-    PreconditionFailedError,
-    StateCache,
-    Transaction,
-)
+from sandladder.state import GroupCommitter, PreconditionFailedError, StateCache
 
 log = logging.getLogger(__name__)
 
-_MAX_OPERATIONS = 2  # puts and deletes of a cancellation
-
 
 class DependentCanceller:
     """Cancels the dependents of cancelled jobs.
@@ -68,14 +59,8 @@
     async def _cancel(self, job_id: str) -> None:
         """Commit one cancellation; a later round retries it if it is refused and still due."""
         log.info("cancelling job %s: one of its dependencies was cancelled", job_id)
-
-        def apply(transaction: Transaction) -> bool:
-            cancel(transaction, job_id, self._wall_clock_s())
-            return True
-
-        change = PendingChange(f"cancel {job_id}", PRIORITY_REQUEST, _MAX_OPERATIONS, apply)
         try:
-            await self._committer.add(change).wait()
+            await self._committer.add(cancellation(job_id, self._wall_clock_s)).wait()
         except PreconditionFailedError as refusal:
             log.debug("cancellation of job %s refused: %s", job_id, refusal)
         finally:
