--- a/src/sandladder/state/group_commit.py
+++ b/src/sandladder/state/group_commit.py
@@ -10,7 +10,6 @@
 
 from sandladder import clock
 from sandladder.concurrency import Signal
-from sandladder.config import MIN_TXN_OPS
 from sandladder.errors import SandladderError
 from sandladder.protocol import codec
 from sandladder.state.batch import Batch, BatchBuilder
@@ -39,6 +38,7 @@
 from sandladder.state.store_client import StoreClient
 from sandladder.state.store_limits import StoreLimits
 from sandladder.state.transaction import fence_assignment
+from sandladder.state.transaction_sizing import TransactionSizing
 from sandladder.state.watch import StoreWatch
 
 log = logging.getLogger(__name__)
@@ -47,12 +47,6 @@
 _LOAD_POLL_INTERVAL_S = 0.05
 # Largest request body, as a share of `codec.BODY_LIMIT`.
 _MAX_BODY_SHARE = 0.6
-# A transaction is limited to what the write limit allows in this many seconds: larger transactions
-# of several controllers exceed the limit together and are rejected.
-_MAX_TRANSACTION_S = 1.5
-# The share of a full transaction that is used: its factor on a conflict or a body that is too long,
-# its minimum after conflicts, its minimum after a long body, and its factor on a commit.
-_SHARE_DECREASE, _MIN_SHARE, _MIN_SHARE_FOR_LONG_BODY, _SHARE_INCREASE = 0.5, 0.25, 0.1, 1.5
 # Base of the retry delay, in puts at the store's write limit.  The delay is random: up to this
 # after a conflict, and from this to three times as long after an error.
 _RETRY_DELAY_WRITES = 0.5
@@ -98,8 +92,7 @@
         self._watch = watch
         self._rng = rng
         self._on_change = on_change
-        self._limits = limits
-        self._limits_reset_s = limits_reset_s
+        self._sizing = TransactionSizing(limits, limits_reset_s)
         self._max_wait_s = max_wait_s
         self._max_queued = max_queued
         self._queue: list[PendingChange] = []
@@ -109,10 +102,6 @@
         self._in_doubt: dict[str, int] = {}
         self._refused = RefusedVersions()
         self._builder = BatchBuilder(cache, limits, self._in_doubt, self._refused, self._resolve)
-        self._share = 1.0  # of a full transaction; reduced by conflicts
-        self._isolated_turn = False  # isolated changes and the others take turns
-        self._one_by_one = False  # one change a transaction, to find the one that the store rejects
-        self._shrunk_at = float("-inf")  # when a rejection last reduced the limits
         self.committed = 0
         self.rejected = 0
         self.committed_keys: Counter[str] = Counter()
@@ -179,8 +168,7 @@
         self._queue = [change for change in self._queue if not change.abandoned]
         if not self._queue:
             return
-        if self._limits.is_shrunk and clock.now() - self._shrunk_at > self._limits_reset_s:
-            self._limits.reset()
+        self._sizing.restore_limits(clock.now())
         self._queue.sort(key=lambda change: change.priority)
         now = clock.now()
         first = next((change for change in self._queue if change.retry_at <= now), None)
@@ -206,7 +194,7 @@
         """
         batch = self._build(max_priority)
         while batch is not None and len(batch.members) > 1 and _is_too_long(batch):
-            self._share = max(_MIN_SHARE_FOR_LONG_BODY, self._share * _SHARE_DECREASE)
+            self._sizing.record_long_body()
             batch = self._build(max_priority, max_members=len(batch.members) - 1)
         return batch
 
@@ -215,25 +203,14 @@
 
         The number of members is limited only if `max_members` is given.
         """
-        affordable = _MAX_TRANSACTION_S * self._store.limits.write_rps * self._store.writes.share
-        max_operations = max(MIN_TXN_OPS, int(min(self._limits.txn_ops * self._share, affordable)))
+        writes_per_s = self._store.limits.write_rps * self._store.writes.share
+        max_operations = self._sizing.max_operations(writes_per_s)
         now = clock.now()
-        ready = self._take_turns([change for change in self._queue if change.retry_at <= now])
+        ready = self._sizing.take_turns(c for c in self._queue if c.retry_at <= now)
         queue = fair_order(ready, max_priority, max_operations, now - self._max_wait_s)
-        if self._one_by_one:
-            max_members = 1
+        max_members = self._sizing.max_members(max_members)
         return self._builder.build(queue, max_operations, now, max_members)
 
-    def _take_turns(self, ready: list[PendingChange]) -> list[PendingChange]:
-        """Return the isolated changes or the others, in turns, or all if they are of one kind."""
-        isolated = [change for change in ready if change.is_isolated]
-        if not isolated or len(isolated) == len(ready):
-            return ready
-        self._isolated_turn = not self._isolated_turn
-        if self._isolated_turn:
-            return isolated
-        return [change for change in ready if not change.is_isolated]
-
     async def _send(self, batch: Batch) -> None:
         try:
             revision = await self._store.commit(batch.body, len(batch.changes))
@@ -258,8 +235,7 @@
         for member in batch.members:
             if member.on_commit is not None:
                 member.on_commit()
-        self._share = min(1.0, self._share * _SHARE_INCREASE)
-        self._one_by_one = False
+        self._sizing.record_commit()
         self._refused.record_commit(batch.transaction.expected_versions)
         for change in batch.changes:
             self._in_doubt.pop(change.key, None)
@@ -288,7 +264,7 @@
             if member.settled_by_key in conflict.failed:
                 self._resolve(member, PreconditionFailedError("settled by another transaction"))
         if not batch.is_isolated:
-            self._share = max(_MIN_SHARE, self._share * _SHARE_DECREASE)
+            self._sizing.record_conflict()
         for member in batch.members_of(conflict.failed):
             member.record_conflict(clock.now())
         await self._watch.barrier()
@@ -319,8 +295,7 @@
         await anyio.sleep(writes / self._store.limits.write_rps)
         if isinstance(error, StoreUnavailableError):
             # Wait for a successful read, so that pending changes are not evaluated at each retry
-            # throughout an outage: that was eleven times a second, and a third of the processor
-            # time.
+            # throughout an outage.
             with anyio.move_on_after(self._max_wait_s):
                 await self._watch.barrier()
 
@@ -335,13 +310,13 @@
         """Fail the change that the store rejects, or send the next ones one by one to find it."""
         if len(batch.members) == 1:
             self._resolve(batch.members[0], PreconditionFailedError(str(error)))
-        self._one_by_one = True
+        self._sizing.send_one_by_one()
 
     def _on_too_large(self, batch: Batch, error: TransactionTooLargeError) -> None:
         """Reduce the limits so that the transaction is not retried unchanged."""
         log.warning("the store rejected a transaction of %s: %s", batch.names, error)
-        self._shrunk_at = clock.now()
-        if not self._limits.shrink(len(batch.changes), batch.largest_value_bytes):
+        operations, value_bytes = len(batch.changes), batch.largest_value_bytes
+        if not self._sizing.shrink_limits(operations, value_bytes, clock.now()):
             self._isolate(batch, error)
 
 
