--- a/src/sandladder/state/store_client.py
+++ b/src/sandladder/state/store_client.py
@@ -129,15 +129,7 @@
         if answer.status >= _SERVER_ERROR:
             raise UnknownOutcomeError(f"status {answer.status}", answer.status)
         self.last_answer_at = clock.now()
-        if answer.status == _CONFLICT:
-            raise ConflictError(store_messages.parse_failed_keys(answer.body))
-        if answer.status == _BAD_REQUEST:
-            reason = loads_map(answer.body).get("error")
-            if reason == _NO_SUCH_LEASE:
-                raise LeaseExpiredError
-            raise TransactionTooLargeError(reason)
-        if answer.status == _BODY_TOO_LARGE:
-            raise TransactionTooLargeError(f"status {answer.status}")
+        _raise_if_refused(answer)
         self.writes.on_allowed()
         return store_messages.parse_revision(_ok_body(answer))
 
@@ -186,6 +178,19 @@
         return answer
 
 
+def _raise_if_refused(answer: Response) -> None:
+    """Raise the error of a transaction that the store refused; nothing of it was applied."""
+    if answer.status == _CONFLICT:
+        raise ConflictError(store_messages.parse_failed_keys(answer.body))
+    if answer.status == _BODY_TOO_LARGE:
+        raise TransactionTooLargeError(f"status {answer.status}")
+    if answer.status == _BAD_REQUEST:
+        reason = loads_map(answer.body).get("error")
+        if reason == _NO_SUCH_LEASE:
+            raise LeaseExpiredError
+        raise TransactionTooLargeError(reason)
+
+
 def _ok_body(answer: Response) -> bytes:
     if answer.status != _OK:
         raise StoreRequestError(f"status {answer.status}", answer.status)
