--- a/src/sandladder/jobs/__init__.py
+++ b/src/sandladder/jobs/__init__.py
@@ -1,7 +1,7 @@
 """The job life cycle: state transitions, and the services that commit them.
 
 `transitions` and `starts` validate changes to jobs and apply them to a transaction, without I/O.
-`JobCommitter` commits ended attempts and released starts; `DependencyResolver` and
+`JobCommitter` commits ended attempts and released starts, as `JobChanges` evaluates them; `DependencyResolver` and
 `DependentCanceller` handle jobs with dependencies; `JobArchiver` moves the records of finished
 jobs.
 
--- a/src/sandladder/jobs/job_committer.py
+++ b/src/sandladder/jobs/job_committer.py
@@ -17,30 +17,17 @@
 from sandladder.jobs.backoff import JobBackoff
 from sandladder.jobs.end_announcer import EndAnnouncer, ProvedEnd
 from sandladder.jobs.end_queue import EndQueue
+from sandladder.jobs.job_changes import JobChanges
 from sandladder.jobs.start_queue import StartQueue
-from sandladder.jobs.starts import record_done_dependencies, start
-from sandladder.jobs.transitions import end, same_attempt
+from sandladder.jobs.transitions import same_attempt
 from sandladder.membership import ControllerLease, MembershipService
-from sandladder.model import HIGH, AttemptKey, EndedAttempt, Job
+from sandladder.model import AttemptKey, EndedAttempt, Job
 from sandladder.peers import PeerService
 from sandladder.scheduling import ClusterView, PendingStart, Planner
-from sandladder.state import (
-    JOB_PREFIX,
-    PRIORITY_JOB,
-    PRIORITY_URGENT_START,
-    GroupCommitter,
-    PendingChange,
-    PreconditionFailedError,
-    Transaction,
-    job_priority,
-)
+from sandladder.state import JOB_PREFIX, GroupCommitter, PendingChange, PreconditionFailedError
 
 log = logging.getLogger(__name__)
 
-# Puts and deletes of a job's change: its record, its team's record and, in schema version 1, the
-# finished job's record.
-_MAX_OPERATIONS = 3
-
 
 class JobCommitter:
     """Commits the ends and starts of the jobs whose teams are assigned to this controller.
@@ -82,10 +69,7 @@
         self._lease_s = workers.lease_s
         self._cluster_view = planner.cluster_view
         self._cache = planner.cluster_view.cache
-        self._limits = planner.store_limits
         self._committer = committer
-        self._controller_lease = controller_lease
-        self._membership = membership
         self._peers = peers
         self._agent_service = agent_service
         self._archiver = archiver
@@ -99,9 +83,10 @@
         )
         self._ends = EndQueue(planner, max_wait_s)
         self._starts = StartQueue(planner.cluster_view)
+        self._changes = JobChanges(
+            planner, self._ends, self._starts, controller_lease, membership, wall_clock_s
+        )
         self._backoff = JobBackoff(planner, workers)
-        # By job ID, the starts in its change as of the change's last evaluation.
-        self._released: dict[str, list[PendingStart]] = {}
         self._in_flight: set[str] = set()
         self._next_forget_at = 0.0
 
@@ -155,95 +140,23 @@
         if job_id in self._in_flight:
             return
         self._in_flight.add(job_id)
-        change = PendingChange(
-            f"ends and starts of {job_id}",
-            self._priority(job_id),
-            _MAX_OPERATIONS,
-            lambda transaction: self._apply(transaction, job_id),
-            added_operations=lambda transaction: self._count_operations(transaction, job_id),
-            on_commit=lambda: self._handle_commit(job_id),
-        )
+        change = self._changes.make(job_id, on_commit=lambda: self._handle_commit(job_id))
         self._committer.add(change)
         self._background.start_soon(self._await_commit, change, job_id)
 
-    def _priority(self, job_id: str) -> float:
-        """Return the commit priority of a job's change.
-
-        First starts of urgent jobs and ends that unblock dependents bypass the write budget.
-        """
-        job = self._cache.jobs.get(job_id)
-        if job is None:
-            return PRIORITY_JOB
-        priority = self._cluster_view.scheduling_priority(job).priority
-        never_started = not job.live and not job.done.count
-        if never_started and priority >= HIGH and job_id in self._starts:
-            return PRIORITY_URGENT_START
-        if self._teams_unblocked_by(job_id):
-            return PRIORITY_URGENT_START
-        return job_priority(priority)
-
-    def _teams_unblocked_by(self, job_id: str) -> list[str]:
-        """Return the teams of a job's dependents if its last ends are queued, else none."""
-        job = self._cache.jobs.get(job_id)
-        if job is None or job.waiting or not self._ends.covers_all_live(job):
-            return []
-        dependents = self._cache.dependency_index.dependents(job_id)
-        return [dependent.spec.team for dependent in dependents]
-
-    def _count_operations(self, transaction: Transaction, job_id: str) -> int:
-        """Return the number of puts and deletes that a job's change adds to a transaction.
-
-        The team's record counts only if the transaction does not contain it.
-        """
-        job = self._cache.jobs.get(job_id)
-        if job is None:
-            return 0
-        if not transaction.is_schema_v1:
-            return 1
-        return 1 + (job.spec.team not in transaction.teams) + self._ends.covers_all_live(job)
-
-    def _apply(self, transaction: Transaction, job_id: str) -> bool:
-        """Add a job's ends and its starts that pass the gate to a transaction."""
-        self._cluster_view.now = clock.now()
-        self._released[job_id] = []
-        changed = end(transaction, self._ends.queued_ends(job_id), self._wall_clock_s())
-        passed = self._starts.release(job_id)
-        job = self._cache.jobs.get(job_id)
-        if not passed or job is None or not self._controller_lease.alive():
-            return changed
-        return self._apply_starts(transaction, job, passed) or changed
-
-    def _apply_starts(self, transaction: Transaction, job: Job, passed: list[PendingStart]) -> bool:
-        """Add starts that passed the gate, or withdraw them if the rules forbid them."""
-        max_dependencies = self._limits.conditions // 2
-        if len(job.dependencies) > max_dependencies:
-            # Too many conditions for one transaction: record some dependencies before the start.
-            self._starts.withdraw(passed)
-            return record_done_dependencies(transaction, job.id, max_dependencies)
-        placements = [pending_start.placement for pending_start in passed]
-        limits = self._cluster_view.team_limits.get(job.spec.team)
-        try:
-            start(transaction, job.id, placements, limits, self._membership.own)
-        except PreconditionFailedError as refusal:
-            log.debug("starts of job %s refused: %s", job.id, refusal)
-            self._starts.withdraw(passed)
-            return False
-        self._released[job.id] = passed
-        for pending_start in passed:
-            pending_start.commit_in_flight = True
-        return True
-
     def _handle_commit(self, job_id: str) -> None:
         """Withdraw the committed starts from the gate and notify the controllers concerned.
 
         Called before the cache contains the commit; once it does, the premises of these starts
         fail.
         """
-        released = self._released.get(job_id, [])
+        released = self._changes.released(job_id)
         self._starts.withdraw(released)
         controllers = {pending_start.reporting_controller for pending_start in released}
         # The assignees of the job's dependents may now start them.
-        controllers |= {self._peers.assignee(team) for team in self._teams_unblocked_by(job_id)}
+        controllers |= {
+            self._peers.assignee(team) for team in self._changes.teams_unblocked_by(job_id)
+        }
         self._peers.notify(controllers)
 
     async def _await_commit(self, change: PendingChange, job_id: str) -> None:
@@ -255,7 +168,7 @@
             # An immediate retry on the same records would be refused again, in an endless loop.
             await anyio.sleep(self._retry_delay_s)
         self._in_flight.discard(job_id)
-        released = self._released.pop(job_id, [])
+        released = self._changes.pop_released(job_id)
         job = self._cache.jobs.get(job_id)
         if released and change.error is None and job is not None:
             _log_starts(self._cluster_view, job, released, self._wall_clock_s())
