--- a/src/sandladder/jobs/__init__.py
+++ b/src/sandladder/jobs/__init__.py
@@ -1,9 +1,9 @@
 """The job life cycle: state transitions, and the services that commit them.
 
 `transitions` and `starts` validate changes to jobs and apply them to a transaction, without I/O.
-`JobCommitter` commits ended attempts and released starts, as `JobChanges` evaluates them; `DependencyResolver` and
-`DependentCanceller` handle jobs with dependencies; `JobArchiver` moves the records of finished
-jobs.
+`JobCommitter` commits ended attempts and released starts, as `JobChanges` evaluates them;
+`DependencyResolver` and `DependentCanceller` handle jobs with dependencies; `JobArchiver` moves the
+records of finished jobs.
 
 The package holds the uncommitted and in-flight changes of jobs.  This state is in memory only and
 is rebuilt from the records after a crash.  The package never chooses machines (`scheduling`), never
